--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES := cmake ninja-build ccache curl g++ pkg-config clang-format clang-tidy \
 	libglib2.0-dev glib-networking libsoup-3.0-dev libflatbuffers-dev flatbuffers-compiler libboost-dev \
 	libdocopt-dev libgoogle-glog-dev libexpected-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
-	librapidcheck-dev libbenchmark-dev libxxhash-dev libsodium-dev python3
+	librapidcheck-dev libbenchmark-dev libxxhash-dev libsodium-dev libhttp-parser-dev python3
 
 BUILD := build
 JOBS ?= $(shell nproc)
@@ -48,7 +48,7 @@
 	cmake --build $(BUILD)-asan -j $(JOBS)
 	$(RUN_TESTS) --test-dir $(BUILD)-asan
 
-SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' | grep -v _generated)
+SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v _generated)
 
 format: install
 	clang-format -i $(SOURCES)
@@ -68,6 +68,7 @@
 	for library in libwire libfleet libquota; do \
 		(cd src/$$library && flatc --cpp --scoped-enums --filename-suffix _generated *.fbs); \
 	done
+	cd src/libmesh && flatc --cpp --scoped-enums --gen-object-api --object-suffix _data --filename-suffix _generated *.fbs
 
 # Experiments on real processes over loopback; ONLY=NAME,... chooses some of them.
 measure: build
--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -266,6 +266,7 @@
 struct store_get {
     std::string key;
     bool prefix = false; ///< every key that starts with it
+    bool stale = false; ///< an answer that is some seconds old will do; cheaper where the store offers it
 };
 /// Applies all writes, or none if a compare does not hold.
 struct store_txn {
--- /dev/null
+++ b/src/libmesh/codec.cpp
@@ -0,0 +1,76 @@
+#include "codec.h"
+
+namespace limpet::mesh {
+namespace {
+
+    constexpr double perMille = 1000;
+
+    template <typename Table, typename Data> std::string pack(const Data& data)
+    {
+        flatbuffers::FlatBufferBuilder out;
+        out.Finish(Table::Pack(out, &data), wire::frameIdentifier());
+        return { reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize() };
+    }
+
+    template <typename Table> result<typename Table::NativeTableType> unpack(const std::string& bytes, const char* what)
+    {
+        const auto* buffer = reinterpret_cast<const std::uint8_t*>(bytes.data());
+        flatbuffers::Verifier verifier(buffer, bytes.size());
+        if (!verifier.VerifyBuffer<Table>(wire::frameIdentifier()))
+            return fail(error_kind::malformed,
+                std::string("a ") + what + " does not verify; check that all nodes run compatible versions");
+        typename Table::NativeTableType data;
+        flatbuffers::GetRoot<Table>(buffer)->UnPackTo(&data);
+        return data;
+    }
+
+} // namespace
+
+std::string encodeFrame(const wire::frame_data& frame) { return pack<wire::frame>(frame); }
+
+result<wire::frame_data> parseFrame(const std::string& bytes) { return unpack<wire::frame>(bytes, "frame"); }
+
+std::string encodeStatus(const wire::status_data& status) { return pack<wire::status>(status); }
+
+result<wire::status_data> parseStatus(const std::string& bytes) { return unpack<wire::status>(bytes, "status"); }
+
+wire::load_report_data packLoad(const endpoint_load& load)
+{
+    wire::load_report_data packed;
+    packed.running = load.running;
+    packed.queued = load.queued;
+    packed.limit = load.limit;
+    packed.latency_us = static_cast<std::uint64_t>(load.latency.count());
+    packed.failure_permille = static_cast<std::uint16_t>(load.failures * perMille);
+    return packed;
+}
+
+endpoint_load unpackLoad(const wire::load_report_data& load)
+{
+    return { load.running, load.queued, std::max(load.limit, 1U), duration(load.latency_us),
+        load.failure_permille / perMille };
+}
+
+header_rows packHeaders(const std::vector<header>& headers)
+{
+    header_rows rows;
+    rows.reserve(headers.size());
+    for (const auto& each : headers) {
+        auto row = std::make_unique<wire::header_entry_data>();
+        row->name = each.name;
+        row->value = each.value;
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+std::vector<header> unpackHeaders(header_rows&& rows)
+{
+    std::vector<header> headers;
+    headers.reserve(rows.size());
+    for (auto& row : rows)
+        headers.push_back({ std::move(row->name), std::move(row->value) });
+    return headers;
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/codec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+// Encoding of the messages between nodes.
+
+#include "mesh_generated.h"
+#include <limpetcroft/mesh.h>
+
+namespace limpet::mesh {
+
+std::string encodeFrame(const wire::frame_data& frame);
+/// Errors: malformed.
+result<wire::frame_data> parseFrame(const std::string& bytes);
+std::string encodeStatus(const wire::status_data& status);
+/// Errors: malformed.
+result<wire::status_data> parseStatus(const std::string& bytes);
+
+wire::load_report_data packLoad(const endpoint_load& load);
+endpoint_load unpackLoad(const wire::load_report_data& load);
+
+using header_rows = std::vector<std::unique_ptr<wire::header_entry_data>>;
+header_rows packHeaders(const std::vector<header>& headers);
+std::vector<header> unpackHeaders(header_rows&& rows);
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/entry.cpp
@@ -0,0 +1,375 @@
+// Requests of clients: route, key, rate, choice of a backend server, repeats, and the one answer.
+
+#include "state.h"
+#include <algorithm>
+#include <cmath>
+
+namespace limpet::mesh {
+namespace {
+
+    // Calls of backend servers come without a team; work has been done for their parents, which is lost with them.
+    constexpr priority calledImportance = highestPriority;
+    constexpr priority mostImportantRank = highestPriority - 1;
+    // Nodes that may refuse a request for lack of room before its client is told to wait.
+    constexpr unsigned mostRefusals = 2;
+    // A link that broke is not used for this long unless it is the only way.
+    constexpr duration avoidAfterLoss = std::chrono::milliseconds(700);
+    // A repeat needs this part of its time, or it is no help.
+    constexpr double repeatPart = 0.3;
+    constexpr duration shortRetryAfter = std::chrono::milliseconds(300);
+    constexpr int firstServerError = 500;
+
+    priority importanceOf(const route& rule, const team* owner)
+    {
+        if (!owner)
+            return calledImportance;
+        const unsigned rank = owner->rank.value_or(rule.rank);
+        return static_cast<priority>(mostImportantRank - std::min<unsigned>(rank, mostImportantRank));
+    }
+
+    http_answer ownAnswer(refusal_reason reason, duration retryAfter)
+    {
+        http_answer answer;
+        answer.status = httpStatus(reason);
+        answer.headers.push_back({ "Content-Type", "application/json" });
+        if (retryAfter > duration(0)) {
+            std::string text = std::to_string(std::chrono::duration<double>(retryAfter).count());
+            answer.headers.push_back({ "Retry-After", text.substr(0, text.find('.') + 4) });
+        }
+        std::string body = R"({"error":")";
+        body += name(reason);
+        body += R"(","remedy":")";
+        body += remedy(reason);
+        body += "\"}";
+        answer.body = makeBytes(std::move(body));
+        return answer;
+    }
+
+} // namespace
+
+/// Takes the services of a route in turn so that each gets its weight's part of the requests (smooth weighted round
+/// robin).
+const std::string& node::state::chooseService(const route& rule)
+{
+    if (rule.services.size() == 1)
+        return rule.services.front().service;
+    auto& credit = splitCredit[rule.name];
+    credit.resize(rule.services.size());
+    double all = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < credit.size(); ++index) {
+        credit[index] += rule.services[index].weight;
+        all += rule.services[index].weight;
+        if (credit[index] > credit[best])
+            best = index;
+    }
+    credit[best] -= all;
+    return rule.services[best].service;
+}
+
+endpoint* node::state::choosePlace(const entry_call& call, time_point now)
+{
+    endpoint* best = nullptr;
+    duration bestCost { 0 };
+    const auto consider = [&](endpoint& candidate) {
+        if (candidate.service != call.service || candidate.state != endpoint_state::ready || candidate.leaving)
+            return;
+        if (call.tried.contains(candidate.node) || candidate.avoidUntil > now)
+            return;
+        auto cost = placementCost(candidate, options.region, options.availabilityZone, options.placement, now);
+        // Nodes that see the same loads would otherwise all choose the same backend server.
+        cost += duration(static_cast<std::int64_t>(static_cast<double>(cost.count()) * 0.1 * random.unit()));
+        if (best && cost >= bestCost)
+            return;
+        best = &candidate;
+        bestCost = cost;
+    };
+    self.load = ownLoad();
+    self.sentSince = 0;
+    self.state = mayServe(now) && !backend.leaving ? endpoint_state::ready : endpoint_state::down;
+    consider(self);
+    for (auto& [name, peer] : peers) {
+        if (now - peer.heard <= options.placement.fresh)
+            consider(peer);
+    }
+    return best;
+}
+
+void node::state::accept(client_request request, time_point now, actions& out)
+{
+    entry_call call;
+    const auto id = request.call;
+    call.request = std::move(request);
+    call.config = config;
+    call.arrived = now;
+    auto& kept = calls.emplace(id, std::move(call)).first->second;
+    if (!config) {
+        answerOwn(kept, refusal_reason::notReady, shortRetryAfter, now, out);
+        return;
+    }
+    kept.rule = config->findRoute(kept.request.host, kept.request.content.path);
+    if (!kept.rule) {
+        answerOwn(kept, refusal_reason::unknownRoute, duration(0), now, out);
+        return;
+    }
+    const team* owner = nullptr;
+    if (!kept.rule->openToAll && !config->content().teams.empty()) {
+        owner = kept.request.key ? config->findTeam(*kept.request.key) : nullptr;
+        if (!owner) {
+            const auto reason = kept.request.key ? refusal_reason::keyInvalid : refusal_reason::keyMissing;
+            answerOwn(kept, reason, duration(0), now, out);
+            return;
+        }
+        kept.team = owner->name;
+    }
+    kept.importance = importanceOf(*kept.rule, owner);
+    auto allowed = kept.rule->timeout;
+    if (kept.request.deadline && (allowed <= duration(0) || *kept.request.deadline < allowed))
+        allowed = *kept.request.deadline;
+    kept.deadline = now + allowed;
+    kept.queueUntil = kept.deadline;
+    if (kept.rule->target > duration(0))
+        kept.queueUntil = std::min(kept.deadline, now + kept.rule->target);
+    if (allowed <= duration(0)) {
+        answerOwn(kept, refusal_reason::deadlineTooShort, duration(0), now, out);
+        return;
+    }
+    if (owner && !rates.admit(kept.team, now)) {
+        answerOwn(kept, refusal_reason::rateExceeded, rates.retryAfter(kept.team, now), now, out);
+        return;
+    }
+    statusDue = statusDue || rates.reportDue();
+    deadlines.emplace(kept.deadline, id);
+    kept.service = chooseService(*kept.rule);
+    retries.countFirst(kept.service);
+    send(kept, now, out);
+}
+
+/// Sends the request to the best backend server that has not had it, or answers that there is none.
+void node::state::send(entry_call& call, time_point now, actions& out)
+{
+    auto* place = choosePlace(call, now);
+    if (!place) {
+        if (call.fallback) {
+            deliver(call, std::move(*call.fallback), "backend-failure", now, out);
+            return;
+        }
+        const bool unrun = call.rule->idempotent || call.reached == 0 || call.refusals > 0;
+        if (!unrun) {
+            answerOwn(call, refusal_reason::connectionLost, duration(0), now, out);
+            return;
+        }
+        const auto reason = call.refusals > 0 ? refusal_reason::overloaded : refusal_reason::noBackendServer;
+        answerOwn(call, reason, std::max(call.retryAfter, shortRetryAfter), now, out);
+        return;
+    }
+    call.attempt = nextAttempt++;
+    call.at = place->node;
+    call.sentAt = now;
+    call.tried.insert(place->node);
+    callOfAttempt[call.attempt] = call.request.call;
+    wire::call_request_data message;
+    message.id = call.attempt;
+    message.service = call.service;
+    message.request_id = call.request.requestId;
+    message.method = call.request.content.method;
+    message.path = call.request.content.path;
+    message.host = call.request.host;
+    message.headers = packHeaders(call.request.content.headers);
+    if (call.request.content.body)
+        message.body = *call.request.content.body;
+    message.team = call.team;
+    message.caller_service = options.service;
+    message.importance = call.importance;
+    message.idempotent = call.rule->idempotent;
+    message.remaining_us = (call.deadline - now).count();
+    message.queue_us = (call.queueUntil > now ? call.queueUntil - now : call.deadline - now).count();
+    ++place->sentSince;
+    if (place == &self) {
+        serve(ownLink, std::move(message), now, out);
+        return;
+    }
+    ++place->waiting;
+    wire::frame_data frame;
+    frame.call = std::make_unique<wire::call_request_data>(std::move(message));
+    out.emplace_back(send_frame { place->address, encodeFrame(frame) });
+}
+
+/// Ends the attempt and returns its call, or nullptr if nobody waits for it.
+entry_call* node::state::endAttempt(std::uint64_t attempt, time_point /*now*/)
+{
+    const auto found = callOfAttempt.find(attempt);
+    if (found == callOfAttempt.end())
+        return nullptr;
+    auto& call = calls.at(found->second);
+    callOfAttempt.erase(found);
+    const auto peer = peers.find(call.at);
+    if (peer != peers.end() && peer->second.waiting > 0)
+        --peer->second.waiting;
+    call.attempt = 0;
+    return &call;
+}
+
+void node::state::attemptAnswered(std::uint64_t attempt, http_answer answer, time_point now, actions& out)
+{
+    auto* call = endAttempt(attempt, now);
+    if (!call)
+        return;
+    ++call->reached;
+    const bool failed = answer.status >= firstServerError;
+    const auto left = call->queueUntil - now;
+    const bool inTime = left.count() > repeatPart * static_cast<double>((call->queueUntil - call->arrived).count());
+    if (failed && call->rule->idempotent && call->reached < call->rule->maxAttempts && inTime
+        && call->importance != calledImportance && retries.take(call->service)) {
+        log(out, "repeat",
+            { { "id", call->request.requestId }, { "at", call->at }, { "status", std::to_string(answer.status) },
+                { "after_ms", milliseconds(now - call->sentAt) }, { "service", call->service } });
+        ++counts.repeats;
+        call->fallback = std::move(answer);
+        send(*call, now, out);
+        return;
+    }
+    deliver(*call, std::move(answer), failed ? "backend-failure" : "answered", now, out);
+}
+
+void node::state::attemptFailed(
+    std::uint64_t attempt, failure_kind kind, duration retryAfter, time_point now, actions& out)
+{
+    auto* call = endAttempt(attempt, now);
+    if (!call)
+        return;
+    const bool arrived = kind != failure_kind::notRun;
+    if (arrived)
+        ++call->reached;
+    else
+        ++call->refusals;
+    call->retryAfter = retryAfter;
+    const bool certain = kind == failure_kind::notRun || kind == failure_kind::rejected;
+    const bool mayRepeat = certain || call->rule->idempotent;
+    bool allowed = now < call->deadline && mayRepeat;
+    if (arrived)
+        allowed = allowed && call->reached < call->rule->maxAttempts && retries.take(call->service);
+    else
+        allowed = allowed && call->refusals < mostRefusals;
+    log(out, allowed ? "repeat" : "attempt_failed",
+        { { "id", call->request.requestId }, { "at", call->at }, { "kind", std::to_string(static_cast<int>(kind)) },
+            { "after_ms", milliseconds(now - call->sentAt) }, { "service", call->service },
+            { "reached", std::to_string(call->reached) }, { "refusals", std::to_string(call->refusals) } });
+    if (allowed) {
+        counts.repeats += arrived ? 1 : 0;
+        send(*call, now, out);
+        return;
+    }
+    if (call->fallback) {
+        deliver(*call, std::move(*call->fallback), "backend-failure", now, out);
+        return;
+    }
+    if (certain) {
+        answerOwn(*call, refusal_reason::overloaded, std::max(retryAfter, shortRetryAfter), now, out);
+        return;
+    }
+    const bool late = kind == failure_kind::timeout;
+    answerOwn(*call, late ? refusal_reason::deadlineExceeded : refusal_reason::connectionLost, duration(0), now, out);
+}
+
+/// The link to that node broke. Not run: it was never open, so that nothing was sent.
+void node::state::loseAttempts(const std::string& at, failure_kind kind, time_point now, actions& out)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [attempt, id] : callOfAttempt) {
+        if (calls.at(id).at == at)
+            lost.push_back(attempt);
+    }
+    std::sort(lost.begin(), lost.end());
+    const auto peer = peers.find(at);
+    if (peer != peers.end())
+        peer->second.avoidUntil = now + avoidAfterLoss;
+    for (const auto attempt : lost)
+        attemptFailed(attempt, kind, duration(0), now, out);
+}
+
+void node::state::cancelAttempt(entry_call& call, actions& out)
+{
+    if (call.attempt == 0)
+        return;
+    const auto attempt = call.attempt;
+    const auto at = call.at;
+    endAttempt(attempt, {});
+    const auto peer = peers.find(at);
+    if (peer == peers.end())
+        return;
+    wire::frame_data frame;
+    frame.cancel = std::make_unique<wire::call_cancel_data>();
+    frame.cancel->id = attempt;
+    out.emplace_back(send_frame { peer->second.address, encodeFrame(frame) });
+}
+
+void node::state::abandon(std::uint64_t id, time_point now, actions& out)
+{
+    const auto found = calls.find(id);
+    if (found == calls.end())
+        return;
+    auto& call = found->second;
+    const auto attempt = call.attempt;
+    const bool here = call.at == options.name;
+    log(out, "client_gone",
+        { { "id", call.request.requestId }, { "at", call.at }, { "after_ms", milliseconds(now - call.arrived) } });
+    ++counts.cancelled;
+    cancelAttempt(call, out);
+    deadlines.erase({ call.deadline, id });
+    calls.erase(found);
+    if (here && attempt != 0)
+        unserve({ ownLink, attempt }, now, out);
+}
+
+void node::state::expireCalls(time_point now, actions& out)
+{
+    while (!deadlines.empty() && deadlines.begin()->first <= now) {
+        const auto id = deadlines.begin()->second;
+        auto& call = calls.at(id);
+        const auto attempt = call.attempt;
+        const bool here = call.at == options.name;
+        cancelAttempt(call, out);
+        // The client's answer comes first, since the attempt is over for this call whatever becomes of it.
+        if (call.fallback)
+            deliver(call, std::move(*call.fallback), "backend-failure", now, out);
+        else
+            answerOwn(call, refusal_reason::deadlineExceeded, duration(0), now, out);
+        if (here && attempt != 0)
+            unserve({ ownLink, attempt }, now, out);
+    }
+}
+
+void node::state::answerOwn(entry_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out)
+{
+    const int status = httpStatus(reason);
+    // A refusal of this status states that the request has not run.
+    constexpr int unavailable = 503;
+    constexpr int tooMany = 429;
+    if (status == unavailable && !call.team.empty())
+        rates.giveBack(call.team);
+    if (status == unavailable || status == tooMany)
+        ++counts.refused;
+    else
+        ++counts.failed;
+    deliver(call, ownAnswer(reason, retryAfter), name(reason), now, out);
+}
+
+void node::state::deliver(entry_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out)
+{
+    const auto id = call.request.call;
+    log(out, "request",
+        { { "id", call.request.requestId }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(answer.status) }, { "ms", milliseconds(now - call.arrived) },
+            { "route", call.rule ? call.rule->name : "" }, { "team", call.team }, { "service", call.service },
+            { "at", call.at }, { "reached", std::to_string(call.reached) },
+            { "refusals", std::to_string(call.refusals) }, { "importance", std::to_string(call.importance) },
+            { "config", std::to_string(call.config ? call.config->content().version : 0) } });
+    if (outcome == "answered" || outcome == "backend-failure")
+        ++counts.answered;
+    deadlines.erase({ call.deadline, id });
+    out.emplace_back(answer_client { id, std::move(answer) });
+    calls.erase(id);
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/node.cpp
@@ -0,0 +1,132 @@
+#include "state.h"
+#include <algorithm>
+
+namespace limpet::mesh {
+namespace {
+
+    // Part of the common bound on repeats that is used. A repeated run makes its own calls again, which count as
+    // repeats at the services that it calls.
+    constexpr double usedRetryPart = 0.5;
+
+} // namespace
+
+node::state::state(node_options given)
+    : options(std::move(given))
+    , rates(options.placement.fresh)
+    , retries(options.retryRatio * usedRetryPart, 1)
+    , random(options.seed)
+{
+    self.node = options.name;
+    self.run = options.run;
+    self.address = options.address;
+    self.region = options.region;
+    self.availabilityZone = options.availabilityZone;
+    self.service = options.service;
+}
+
+void node::state::handle(event given, time_point now, actions& out)
+{
+    struct handler {
+        node::state& own;
+        time_point now;
+        actions& out;
+
+        void operator()(client_request& each) const { own.accept(std::move(each), now, out); }
+        void operator()(const client_gone& each) const { own.abandon(each.call, now, out); }
+        void operator()(backend_result& each) const { own.backendEnded(std::move(each), now, out); }
+        void operator()(const backend_report& each) const { own.reportBackend(each, now, out); }
+        void operator()(const backend_departure& each) const { own.departBackend(each.id, now, out); }
+        void operator()(const backend_reachable& each) const
+        {
+            if (own.backend.reachable == each.reachable)
+                return;
+            own.backend.reachable = each.reachable;
+            own.statusDue = true;
+            log(out, each.reachable ? "backend_regained" : "backend_lost", { { "backend", own.backend.id } });
+            if (!each.reachable)
+                own.stopServing(refusal_reason::noBackendServer, now, out);
+        }
+        void operator()(frame_received& each) const { own.receiveFrame(std::move(each), now, out); }
+        void operator()(const link_closed& each) const
+        {
+            own.unserveLink(each.link, now, out);
+            const auto* peer = own.peerByAddress(each.peer);
+            if (peer)
+                own.loseAttempts(
+                    std::string(peer->node), each.opened ? failure_kind::lost : failure_kind::notRun, now, out);
+        }
+        void operator()(const status_received& each) const { own.receiveStatus(each, now, out); }
+        void operator()(configuration_received& each) const { own.useConfiguration(std::move(each), now, out); }
+        void operator()(const nodes_listed& each) const { own.listNodes(each, now); }
+        void operator()(const leave_request& /*each*/) const
+        {
+            own.self.leaving = true;
+            own.statusDue = true;
+        }
+    };
+    std::visit(handler { *this, now, out }, given);
+}
+
+void node::state::tick(time_point now, actions& out)
+{
+    expireCalls(now, out);
+    if (now >= servingEnds())
+        stopServing(refusal_reason::draining, now, out);
+    carryOut(gate.expire(now), now, out);
+    retries.setReserve(usedRetryPart * options.retryReserve / static_cast<double>(peers.size() + 1));
+    forgetSilent(now, out);
+    pullConfiguration(now, out);
+    spreadStatus(now, out);
+}
+
+time_point node::state::nextTimer() const
+{
+    auto next = std::min(statusAt, farStatusAt);
+    if (!deadlines.empty())
+        next = std::min(next, deadlines.begin()->first);
+    if (const auto gateTimer = gate.nextTimer())
+        next = std::min(next, *gateTimer);
+    if (statusDue)
+        next = std::min(next, lastStatus + leastStatusGap);
+    if (gate.queued() > 0)
+        next = std::min(next, servingEnds());
+    for (const auto& [address, each] : unmet)
+        next = std::min(next, each.askedAt + introduceEvery);
+    return next;
+}
+
+node::node(node_options options)
+    : m_state(std::make_unique<state>(std::move(options)))
+{
+}
+
+node::~node() = default;
+node::node(node&&) noexcept = default;
+node& node::operator=(node&&) noexcept = default;
+
+void node::handle(event event, time_point now, actions& out) { m_state->handle(std::move(event), now, out); }
+
+void node::tick(time_point now, actions& out) { m_state->tick(now, out); }
+
+time_point node::nextTimer() const { return m_state->nextTimer(); }
+
+bool node::ready() const { return m_state->config != nullptr && !m_state->self.leaving; }
+
+bool node::idle() const { return m_state->calls.empty() && m_state->serving.empty(); }
+
+figures node::statistics() const
+{
+    auto counts = m_state->counts;
+    counts.callsInFlight = m_state->calls.size();
+    counts.running = m_state->gate.inFlight();
+    counts.queued = m_state->gate.queued();
+    counts.peers = m_state->peers.size();
+    counts.configuration = configurationVersion();
+    return counts;
+}
+
+std::uint64_t node::configurationVersion() const { return m_state->config ? m_state->config->content().version : 0; }
+
+std::shared_ptr<const configuration_index> node::configurationInForce() const { return m_state->config; }
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/placement.cpp
@@ -0,0 +1,40 @@
+#include <limpetcroft/mesh.h>
+
+namespace limpet::mesh {
+namespace {
+
+    // Part of the limit up to which load does not slow a backend server down.
+    constexpr double freePart = 0.7;
+    // Weight of load between freePart and the limit, in multiples of the latency: it spreads calls before a queue
+    // forms.
+    constexpr double crowdedWeight = 0.6;
+    // A part of failed answers costs that multiple of the latency: a call that fails is lost work.
+    constexpr double failureWeight = 6;
+    // Extra work of a backend server after its start.
+    constexpr double coldWeight = 1;
+
+} // namespace
+
+duration placementCost(const endpoint& candidate, const std::string& region, const std::string& zone,
+    const placement_options& options, time_point now)
+{
+    const auto latency = candidate.load.latency > duration(0) ? candidate.load.latency : options.defaultLatency;
+    const double limit = std::max(candidate.load.limit, 1U);
+    const double busy = (candidate.load.running + candidate.load.queued + candidate.sentSince) / limit;
+    double multiple = 1;
+    if (busy > freePart)
+        multiple += crowdedWeight * (std::min(busy, 1.0) - freePart) / (1 - freePart);
+    if (busy > 1)
+        multiple += busy - 1;
+    multiple += failureWeight * candidate.load.failures;
+    if (candidate.coldUntil > now)
+        multiple += coldWeight;
+    auto cost = duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * multiple));
+    if (candidate.region != region)
+        cost += options.otherRegionPenalty;
+    else if (candidate.availabilityZone != zone)
+        cost += options.sameRegionPenalty;
+    return cost;
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/registry.cpp
@@ -0,0 +1,153 @@
+#include <limpetcroft/mesh.h>
+
+namespace limpet::mesh {
+namespace {
+
+    constexpr std::array<const char*, 5> stepNames { "configuration", "lease", "entry", "keep", "list" };
+    constexpr time_point never = time_point::max();
+
+} // namespace
+
+registry::registry(options given)
+    : m_options(std::move(given))
+{
+    of(step::entry).at = never;
+    of(step::keep).at = never;
+    of(step::list).at = never;
+}
+
+void registry::start(step which, store_operation operation, outcome& out)
+{
+    auto& each = of(which);
+    each.token = m_nextToken++;
+    each.at = never;
+    out.calls.push_back({ each.token, std::move(operation) });
+}
+
+void registry::tick(time_point now, outcome& out)
+{
+    const auto due = [&](step which) { return of(which).token == 0 && of(which).at <= now; };
+    if (due(step::configuration))
+        start(step::configuration, store_get { m_options.configurationKey }, out);
+    if (m_left)
+        return;
+    if (due(step::lease))
+        start(step::lease, store_lease_grant { m_options.timeToLive }, out);
+    if (due(step::entry)) {
+        store_txn txn;
+        txn.writes.emplace_back(
+            store_put { m_options.entryPrefix + m_options.entryName, m_options.entryValue, m_lease });
+        start(step::entry, std::move(txn), out);
+    }
+    if (due(step::keep))
+        start(step::keep, store_lease_keep_alive { m_lease }, out);
+    // The first list must hold every node that was there before; later ones only make up for lost datagrams.
+    if (due(step::list))
+        start(step::list, store_get { m_options.entryPrefix, true, m_listed }, out);
+}
+
+void registry::handle(const store_result& result, time_point now, outcome& out)
+{
+    for (std::size_t index = 0; index < m_tasks.size(); ++index) {
+        if (m_tasks[index].token != result.token)
+            continue;
+        m_tasks[index].token = 0;
+        const auto which = static_cast<step>(index);
+        const bool reached = result.reply.has_value() || result.reply.error().kind == error_kind::notFound;
+        if (reached != m_reached) {
+            m_reached = reached;
+            out.log.push_back({ reached ? "store_regained" : "store_lost",
+                { { "call", stepNames[index] }, { "reason", result.reply ? "" : result.reply.error().message } } });
+        }
+        if (result.reply)
+            succeed(which, *result.reply, now, out);
+        else
+            fail(which, result.reply.error(), now, out);
+        return;
+    }
+}
+
+void registry::succeed(step which, const store_reply& reply, time_point now, outcome& out)
+{
+    switch (which) {
+    case step::configuration: {
+        const auto* got = std::get_if<store_get_reply>(&reply);
+        if (!got->entries.empty())
+            changed(got->entries.front().value, out);
+        // The watch also reports a configuration that does not exist yet.
+        out.watchFrom = got->head + 1;
+        break;
+    }
+    case step::lease:
+        m_lease = std::get<store_lease_reply>(reply).lease;
+        m_written = false;
+        of(step::entry).at = now;
+        break;
+    case step::entry:
+        if (!std::get<store_txn_reply>(reply).succeeded) {
+            of(step::lease).at = now;
+            break;
+        }
+        m_written = true;
+        of(step::keep).at = now + m_options.keepInterval;
+        of(step::list).at = now;
+        m_listed = false;
+        out.log.push_back({ "entry_written", { { "lease", std::to_string(m_lease) } } });
+        break;
+    case step::keep:
+        if (std::get<store_lease_reply>(reply).timeToLive.count() > 0) {
+            of(step::keep).at = now + m_options.keepInterval;
+            break;
+        }
+        out.log.push_back({ "entry_lapsed", { { "lease", std::to_string(m_lease) } } });
+        of(step::lease).at = now;
+        break;
+    case step::list: {
+        std::vector<std::string> values;
+        for (const auto& each : std::get<store_get_reply>(reply).entries)
+            values.push_back(each.value);
+        out.entries = std::move(values);
+        m_listed = true;
+        of(step::list).at = now + m_options.listInterval;
+        break;
+    }
+    }
+}
+
+void registry::fail(step which, const error& why, time_point now, outcome& out)
+{
+    const bool lapsed = (which == step::keep || which == step::entry) && why.kind == error_kind::notFound;
+    if (lapsed) {
+        out.log.push_back({ "entry_lapsed", { { "lease", std::to_string(m_lease) } } });
+        of(step::lease).at = now;
+        return;
+    }
+    of(which).at = now + m_options.retryInterval;
+}
+
+void registry::changed(const std::string& document, outcome& out) { out.document = document; }
+
+void registry::watchEnded(time_point now)
+{
+    if (of(step::configuration).token == 0)
+        of(step::configuration).at = std::min(of(step::configuration).at, now + m_options.rewatchDelay);
+}
+
+void registry::leave(outcome& out)
+{
+    m_left = true;
+    if (m_lease != 0)
+        out.calls.push_back({ m_nextToken++, store_lease_revoke { m_lease } });
+}
+
+time_point registry::nextTimer() const
+{
+    auto next = never;
+    for (const auto& each : m_tasks) {
+        if (each.token == 0)
+            next = std::min(next, each.at);
+    }
+    return next;
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/serving.cpp
@@ -0,0 +1,299 @@
+// The backend server beside this node: admission of calls, their execution, and what it says of itself.
+
+#include "state.h"
+#include <algorithm>
+#include <cmath>
+
+namespace limpet::mesh {
+namespace {
+
+    // Weight of one call in the recent latency and in the recent part of failures.
+    constexpr double latencyWeight = 0.1;
+    constexpr double failureWeight = 0.05;
+    // Slots of a backend server that did not state any.
+    constexpr unsigned defaultSlots = 16;
+    constexpr int firstServerError = 500;
+
+    request_id gateId(std::uint64_t serving) { return { 0, serving }; }
+
+    admission makeGate(unsigned slots, double part)
+    {
+        admission_options options;
+        const auto limit = static_cast<unsigned>(std::floor((slots == 0 ? defaultSlots : slots) * part));
+        options.limit = fixed_limit { std::max(limit, 1U) };
+        return admission(options);
+    }
+
+} // namespace
+
+/// From now on new calls are refused.
+time_point node::state::servingEnds() const
+{
+    return backend.leaving ? backend.leftAt + options.drainTime - options.drainMargin : time_point::max();
+}
+
+bool node::state::mayServe(time_point now) const
+{
+    return !backend.id.empty() && backend.reachable && now < servingEnds();
+}
+
+endpoint_load node::state::ownLoad() const
+{
+    return { static_cast<unsigned>(gate.inFlight()), static_cast<unsigned>(gate.queued()), gate.limit(),
+        duration(std::llround(latency)), failures };
+}
+
+void node::state::serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out)
+{
+    const serving_key key { link, call.id };
+    if (!mayServe(now) || call.service != self.service) {
+        log(out, "call_refused",
+            { { "id", call.request_id }, { "reason", "no-backend-server" }, { "wanted", call.service },
+                { "backend", backend.id }, { "reachable", backend.reachable ? "1" : "0" },
+                { "leaving", backend.leaving ? "1" : "0" } });
+        respondFailure(key, failure_kind::notRun, duration(0), now, out);
+        return;
+    }
+    const auto serial = nextServing++;
+    serving_call kept;
+    kept.link = link;
+    kept.id = call.id;
+    kept.deadline = now + duration(call.remaining_us);
+    kept.content = std::move(call);
+    admission_request request;
+    request.id = gateId(serial);
+    request.context.team = kept.content.team;
+    request.context.importance = kept.content.importance;
+    request.context.remaining = duration(std::min(kept.content.queue_us, kept.content.remaining_us));
+    const auto requestId = kept.content.request_id;
+    serving.emplace(serial, std::move(kept));
+    servingOf[key] = serial;
+    auto decision = gate.offer(request, now);
+    if (decision.verdict == admission_verdict::run)
+        startServing(serial, now, out);
+    if (decision.verdict == admission_verdict::refused)
+        refuseServing(serial, decision.reason, decision.retryAfter, now, out);
+    carryOut(decision.others, now, out);
+}
+
+void node::state::startServing(std::uint64_t serial, time_point now, actions& out)
+{
+    auto& call = serving.at(serial);
+    call.started = true;
+    call.startedAt = now;
+    call.generation = backend.generation;
+    run_on_backend run;
+    run.attempt = serial;
+    run.endpoint = backend.id;
+    run.requestId = call.content.request_id;
+    run.host = call.content.host;
+    run.team = call.content.team;
+    run.callerService = call.content.caller_service;
+    run.content.method = call.content.method;
+    run.content.path = call.content.path;
+    run.content.headers = unpackHeaders(std::move(call.content.headers));
+    run.content.body = makeBytes(std::move(call.content.body));
+    run.remaining = call.deadline - now;
+    run.idempotent = call.content.idempotent;
+    out.emplace_back(std::move(run));
+}
+
+void node::state::carryOut(const admission_actions& decided, time_point now, actions& out)
+{
+    for (const auto& id : decided.start)
+        startServing(id.low, now, out);
+    for (const auto& each : decided.refused)
+        refuseServing(each.id.low, each.reason, each.retryAfter, now, out);
+}
+
+void node::state::removeServing(std::uint64_t serial)
+{
+    const auto found = serving.find(serial);
+    servingOf.erase({ found->second.link, found->second.id });
+    serving.erase(found);
+}
+
+void node::state::refuseServing(
+    std::uint64_t serial, refusal_reason reason, duration retryAfter, time_point now, actions& out)
+{
+    const auto& call = serving.at(serial);
+    const serving_key key { call.link, call.id };
+    log(out, "call_refused",
+        { { "id", call.content.request_id }, { "reason", std::string(name(reason)) },
+            { "importance", std::to_string(call.content.importance) },
+            { "queue_ms", milliseconds(duration(call.content.queue_us)) },
+            { "running", std::to_string(gate.inFlight()) }, { "queued", std::to_string(gate.queued()) },
+            { "limit", std::to_string(gate.limit()) },
+            { "latency_ms", milliseconds(duration(std::llround(latency))) } });
+    removeServing(serial);
+    respondFailure(key, failure_kind::notRun, retryAfter, now, out);
+}
+
+void node::state::respondFailure(
+    const serving_key& key, failure_kind kind, duration retryAfter, time_point now, actions& out)
+{
+    if (key.link == ownLink) {
+        attemptFailed(key.id, kind, retryAfter, now, out);
+        return;
+    }
+    wire::frame_data frame;
+    frame.failure = std::make_unique<wire::call_failure_data>();
+    frame.failure->id = key.id;
+    frame.failure->kind = static_cast<std::uint8_t>(kind);
+    frame.failure->retry_after_us = retryAfter.count();
+    frame.failure->load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
+    out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
+}
+
+void node::state::learnOutcome(bool failed, duration took)
+{
+    failures += failureWeight * ((failed ? 1.0 : 0.0) - failures);
+    if (failed)
+        return;
+    const auto sample = static_cast<double>(took.count());
+    latency += latency == 0 ? sample : latencyWeight * (sample - latency);
+}
+
+void node::state::backendEnded(backend_result result, time_point now, actions& out)
+{
+    const auto found = serving.find(result.attempt);
+    if (found == serving.end())
+        return;
+    const auto& call = found->second;
+    const serving_key key { call.link, call.id };
+    const auto took = now - call.startedAt;
+    const bool current = call.generation == backend.generation;
+    const bool failed = !result.outcome || result.outcome->status >= firstServerError;
+    if (current)
+        learnOutcome(failed, took);
+    if (!result.outcome)
+        log(out, "call_failed",
+            { { "id", call.content.request_id }, { "kind", std::to_string(static_cast<int>(result.outcome.error())) },
+                { "backend", backend.id }, { "ms", milliseconds(took) } });
+    removeServing(result.attempt);
+    if (result.outcome && key.link == ownLink)
+        attemptAnswered(key.id, std::move(*result.outcome), now, out);
+    else if (result.outcome) {
+        wire::frame_data frame;
+        frame.answer = std::make_unique<wire::call_answer_data>();
+        frame.answer->id = key.id;
+        frame.answer->status = static_cast<std::uint16_t>(result.outcome->status);
+        frame.answer->headers = packHeaders(result.outcome->headers);
+        if (result.outcome->body)
+            frame.answer->body = *result.outcome->body;
+        frame.answer->load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
+        out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
+    } else
+        respondFailure(key, result.outcome.error(), duration(0), now, out);
+    if (current)
+        carryOut(gate.finish(gateId(result.attempt), failed ? call_outcome::failed : call_outcome::success, took, now),
+            now, out);
+}
+
+void node::state::unserve(const serving_key& key, time_point now, actions& out)
+{
+    const auto found = servingOf.find(key);
+    if (found == servingOf.end())
+        return;
+    const auto serial = found->second;
+    const auto& call = serving.at(serial);
+    const bool started = call.started;
+    const bool current = call.generation == backend.generation;
+    const auto took = now - call.startedAt;
+    const bool overdue = started && now >= call.deadline;
+    removeServing(serial);
+    if (!started) {
+        gate.cancel(gateId(serial));
+        return;
+    }
+    out.emplace_back(cancel_on_backend { serial });
+    if (!current)
+        return;
+    if (overdue)
+        learnOutcome(true, took);
+    carryOut(
+        gate.finish(gateId(serial), overdue ? call_outcome::timeout : call_outcome::cancelled, took, now), now, out);
+}
+
+void node::state::unserveLink(std::uint64_t link, time_point now, actions& out)
+{
+    std::vector<serving_key> keys;
+    for (auto each = servingOf.lower_bound({ link, 0 }); each != servingOf.end() && each->first.link == link; ++each)
+        keys.push_back(each->first);
+    for (const auto& key : keys)
+        unserve(key, now, out);
+}
+
+/// Refuses what waits for the backend server; what it runs goes on.
+void node::state::stopServing(refusal_reason reason, time_point now, actions& out)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [serial, call] : serving) {
+        if (!call.started)
+            waiting.push_back(serial);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto serial : waiting) {
+        gate.cancel(gateId(serial));
+        refuseServing(serial, reason, duration(0), now, out);
+    }
+}
+
+/// A later start goes before an earlier one; within one start the higher sequence does.
+void node::state::reportBackend(const backend_report& report, time_point now, actions& out)
+{
+    const bool same = report.id == backend.id && report.born == backend.born;
+    const bool stale = same ? report.sequence <= backend.sequence : report.born < backend.born;
+    if (stale) {
+        log(out, "heartbeat_ignored",
+            { { "backend", report.id }, { "born", std::to_string(report.born) },
+                { "sequence", std::to_string(report.sequence) }, { "known", backend.id },
+                { "known_born", std::to_string(backend.born) } });
+        return;
+    }
+    if (!same)
+        replaceBackend(report, now, out);
+    backend.sequence = report.sequence;
+    backend.reachable = true;
+    self.coldUntil = now + report.cold;
+    if (report.draining && !backend.leaving)
+        leaveBackend(now, out);
+}
+
+void node::state::replaceBackend(const backend_report& report, time_point now, actions& out)
+{
+    log(out, "backend_joined",
+        { { "backend", report.id }, { "service", report.service }, { "slots", std::to_string(report.slots) },
+            { "born", std::to_string(report.born) }, { "before", backend.id } });
+    stopServing(refusal_reason::noBackendServer, now, out);
+    const auto generation = backend.generation + 1;
+    backend = {};
+    backend.id = report.id;
+    backend.born = report.born;
+    backend.generation = generation;
+    self.id = report.id;
+    self.service = report.service;
+    self.slots = report.slots;
+    gate = makeGate(report.slots, options.slotPart);
+    latency = 0;
+    failures = 0;
+    statusDue = true;
+}
+
+void node::state::leaveBackend(time_point now, actions& out)
+{
+    backend.leaving = true;
+    backend.leftAt = now;
+    statusDue = true;
+    log(out, "backend_leaving",
+        { { "backend", backend.id }, { "running", std::to_string(gate.inFlight()) },
+            { "queued", std::to_string(gate.queued()) } });
+}
+
+void node::state::departBackend(const std::string& id, time_point now, actions& out)
+{
+    if (id == backend.id && !backend.leaving)
+        leaveBackend(now, out);
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/spread.cpp
@@ -0,0 +1,262 @@
+// Other nodes: status datagrams, membership, and the spread of the configuration.
+
+#include "state.h"
+#include <algorithm>
+
+namespace limpet::mesh {
+namespace {
+
+    // A node usually reads a new version from the store itself; only when that fails does it ask another node.
+    constexpr duration pullAfter = std::chrono::milliseconds(400);
+
+} // namespace
+
+endpoint* node::state::peerByAddress(const socket_address& address)
+{
+    const auto found = peerAt.find(address);
+    if (found == peerAt.end())
+        return nullptr;
+    const auto peer = peers.find(found->second);
+    return peer == peers.end() ? nullptr : &peer->second;
+}
+
+void node::state::receiveFrame(frame_received received, time_point now, actions& out)
+{
+    auto parsed = parseFrame(received.bytes);
+    if (!parsed) {
+        log(out, "frame_ignored", { { "reason", parsed.error().message } });
+        return;
+    }
+    auto& frame = *parsed;
+    const auto learnLoad = [&](const std::unique_ptr<wire::load_report_data>& load) {
+        auto* peer = peerByAddress(received.peer);
+        if (!peer || !load)
+            return;
+        peer->load = unpackLoad(*load);
+        peer->sentSince = 0;
+    };
+    if (frame.call)
+        serve(received.link, std::move(*frame.call), now, out);
+    if (frame.cancel)
+        unserve({ received.link, frame.cancel->id }, now, out);
+    if (frame.answer) {
+        learnLoad(frame.answer->load);
+        http_answer answer;
+        answer.status = frame.answer->status;
+        answer.headers = unpackHeaders(std::move(frame.answer->headers));
+        answer.body = makeBytes(std::move(frame.answer->body));
+        attemptAnswered(frame.answer->id, std::move(answer), now, out);
+    }
+    if (frame.failure) {
+        learnLoad(frame.failure->load);
+        const auto kind = static_cast<failure_kind>(std::min<std::uint8_t>(frame.failure->kind, 3));
+        attemptFailed(frame.failure->id, kind, duration(frame.failure->retry_after_us), now, out);
+    }
+    if (frame.configuration_pull && !document.empty()) {
+        wire::frame_data reply;
+        reply.configuration_push = std::make_unique<wire::configuration_copy_data>();
+        reply.configuration_push->document = document;
+        out.emplace_back(reply_frame { received.link, encodeFrame(reply) });
+    }
+    if (frame.configuration_push)
+        out.emplace_back(offer_document { std::move(frame.configuration_push->document) });
+}
+
+std::string node::state::ownStatus(bool introduce, time_point now)
+{
+    wire::status_data status;
+    status.node = options.name;
+    status.run = options.run;
+    status.sequence = ++statusSequence;
+    status.region = options.region;
+    status.availability_zone = options.availabilityZone;
+    status.service = self.service;
+    status.endpoint = backend.id;
+    auto state = endpoint_state::ready;
+    if (backend.id.empty())
+        state = endpoint_state::absent;
+    else if (backend.leaving)
+        state = endpoint_state::draining;
+    else if (!backend.reachable)
+        state = endpoint_state::down;
+    status.state = static_cast<std::uint8_t>(state);
+    status.slots = self.slots;
+    status.cold_ms = self.coldUntil > now ? static_cast<std::uint32_t>((self.coldUntil - now).count() / 1000) : 0;
+    status.leaving = self.leaving;
+    status.configuration = config ? config->content().version : 0;
+    status.load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
+    for (const auto& each : rates.report(now)) {
+        auto row = std::make_unique<wire::team_use_data>();
+        row->team = each.team;
+        row->admitted = each.admitted;
+        row->demand = static_cast<float>(each.demand);
+        status.teams.push_back(std::move(row));
+    }
+    status.introduce = introduce;
+    return encodeStatus(status);
+}
+
+void node::state::receiveStatus(const status_received& received, time_point now, actions& out)
+{
+    auto parsed = parseStatus(received.bytes);
+    if (!parsed) {
+        log(out, "status_ignored", { { "reason", parsed.error().message } });
+        return;
+    }
+    if (parsed->node == options.name || parsed->node.empty())
+        return;
+    learnPeer(*parsed, received.peer, now, out);
+    if (parsed->introduce)
+        out.emplace_back(send_status { received.peer, ownStatus(false, now) });
+}
+
+void node::state::learnPeer(
+    const wire::status_data& status, const socket_address& address, time_point now, actions& out)
+{
+    auto& peer = peers[status.node];
+    if (status.run < peer.run || (status.run == peer.run && status.sequence <= peer.sequence))
+        return;
+    const bool fresh = peer.run != status.run;
+    if (fresh) {
+        log(out, "peer_joined",
+            { { "peer", status.node }, { "run", std::to_string(status.run) }, { "before", std::to_string(peer.run) },
+                { "service", status.service }, { "zone", status.availability_zone } });
+        if (peer.run != 0)
+            loseAttempts(status.node, failure_kind::lost, now, out);
+        peer.avoidUntil = {};
+        peer.waiting = 0;
+    }
+    const auto before = peer.state;
+    peer.node = status.node;
+    peer.run = status.run;
+    peer.sequence = status.sequence;
+    peer.address = address;
+    peer.region = status.region;
+    peer.availabilityZone = status.availability_zone;
+    peer.service = status.service;
+    peer.id = status.endpoint;
+    peer.state = static_cast<endpoint_state>(std::min<std::uint8_t>(status.state, 3));
+    peer.slots = status.slots;
+    peer.coldUntil = now + std::chrono::milliseconds(status.cold_ms);
+    peer.configuration = status.configuration;
+    if (status.load)
+        peer.load = unpackLoad(*status.load);
+    peer.sentSince = 0;
+    if (peer.heard != time_point {} && now - peer.heard > options.placement.fresh)
+        log(out, "peer_regained", { { "peer", status.node }, { "silent_ms", milliseconds(now - peer.heard) } });
+    peer.heard = now;
+    if (fresh || before != peer.state || peer.leaving != status.leaving)
+        log(out, "peer_state",
+            { { "peer", status.node }, { "state", std::to_string(status.state) }, { "backend", status.endpoint },
+                { "leaving", status.leaving ? "1" : "0" }, { "sequence", std::to_string(status.sequence) } });
+    peer.leaving = status.leaving;
+    peerAt[address] = status.node;
+    unmet.erase(address);
+    std::vector<team_report> reports;
+    for (const auto& each : status.teams)
+        reports.push_back({ each->team, each->admitted, each->demand });
+    rates.learn(status.node, status.run, reports, now);
+    const auto held = config ? config->content().version : 0;
+    if (status.configuration > held && status.configuration > newestSeen) {
+        newestSeen = status.configuration;
+        pullAt = now + (held == 0 ? duration(0) : pullAfter);
+    }
+}
+
+void node::state::spreadStatus(time_point now, actions& out)
+{
+    const bool urgent = statusDue && now - lastStatus >= leastStatusGap;
+    const bool near = urgent || now >= statusAt;
+    const bool far = urgent || now >= farStatusAt;
+    if (near || far) {
+        std::string bytes;
+        for (const auto& [name, peer] : peers) {
+            const bool sameRegion = peer.region == options.region;
+            if (sameRegion ? !near : !far)
+                continue;
+            if (bytes.empty())
+                bytes = ownStatus(false, now);
+            out.emplace_back(send_status { peer.address, bytes });
+        }
+        statusDue = false;
+        lastStatus = now;
+        if (near)
+            statusAt = now + options.statusInterval;
+        if (far)
+            farStatusAt = now + options.farStatusInterval;
+    }
+    for (auto each = unmet.begin(); each != unmet.end();) {
+        if (now - each->second.since > introduceFor) {
+            each = unmet.erase(each);
+            continue;
+        }
+        if (now - each->second.askedAt >= introduceEvery) {
+            each->second.askedAt = now;
+            out.emplace_back(send_status { each->first, ownStatus(true, now) });
+        }
+        ++each;
+    }
+}
+
+void node::state::listNodes(const nodes_listed& listed, time_point now)
+{
+    for (const auto& address : listed.nodes) {
+        if (address == options.address || unmet.contains(address))
+            continue;
+        const auto* peer = peerByAddress(address);
+        if (!peer || now - peer->heard > options.placement.fresh)
+            unmet.emplace(address, unmet_node { now, {} });
+    }
+}
+
+void node::state::forgetSilent(time_point now, actions& out)
+{
+    for (auto each = peers.begin(); each != peers.end();) {
+        if (now - each->second.heard <= options.forgetAfter) {
+            ++each;
+            continue;
+        }
+        log(out, "peer_forgotten",
+            { { "peer", each->first }, { "silent_ms", milliseconds(now - each->second.heard) } });
+        loseAttempts(each->first, failure_kind::lost, now, out);
+        rates.forget(each->first);
+        peerAt.erase(each->second.address);
+        each = peers.erase(each);
+    }
+}
+
+void node::state::pullConfiguration(time_point now, actions& out)
+{
+    const auto held = config ? config->content().version : 0;
+    if (newestSeen <= held || now < pullAt)
+        return;
+    pullAt = now + pullAfter;
+    for (const auto& [name, peer] : peers) {
+        if (peer.configuration <= held || now - peer.heard > options.placement.fresh)
+            continue;
+        wire::frame_data frame;
+        frame.configuration_pull = std::make_unique<wire::configuration_request_data>();
+        out.emplace_back(send_frame { peer.address, encodeFrame(frame) });
+        return;
+    }
+}
+
+void node::state::useConfiguration(configuration_received received, time_point now, actions& out)
+{
+    const auto held = config ? config->content().version : 0;
+    const auto version = received.content->content().version;
+    if (version <= held)
+        return;
+    log(out, "configuration",
+        { { "version", std::to_string(version) }, { "before", std::to_string(held) },
+            { "routes", std::to_string(received.content->content().routes.size()) },
+            { "teams", std::to_string(received.content->content().teams.size()) } });
+    config = std::move(received.content);
+    document = std::move(received.document);
+    newestSeen = std::max(newestSeen, version);
+    rates.configure(config->content().teams, now);
+    splitCredit.clear();
+    statusDue = true;
+}
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libmesh/state.h
@@ -0,0 +1,170 @@
+#pragma once
+
+// State of one node and the parts that its sources share.
+
+#include "codec.h"
+#include <limpetcroft/mesh.h>
+
+namespace limpet::mesh {
+
+/// Link number of calls that come from this node itself.
+constexpr std::uint64_t ownLink = 0;
+/// Shortest time between two statuses, also when there is news.
+constexpr duration leastStatusGap = std::chrono::milliseconds(60);
+/// How often a node that is known by address only is asked for its status, and for how long.
+constexpr duration introduceEvery = std::chrono::milliseconds(500);
+constexpr duration introduceFor = std::chrono::seconds(10);
+
+/// A request from a client until its answer.
+struct entry_call {
+    client_request request;
+    std::shared_ptr<const configuration_index> config; ///< in force when it arrived
+    const route* rule = nullptr;
+    std::string team;
+    std::string service;
+    priority importance = lowestPriority;
+    time_point arrived {};
+    time_point deadline {};
+    time_point queueUntil {}; ///< waiting for a backend server is of no use after that
+    std::set<std::string> tried; ///< nodes that had it
+    unsigned reached = 0; ///< backend servers that it may have reached
+    unsigned refusals = 0; ///< by nodes, before it reached a backend server
+    std::uint64_t attempt = 0; ///< zero: none
+    std::string at; ///< node of the attempt
+    time_point sentAt {};
+    duration retryAfter { 0 }; ///< as stated by the node that refused it
+    std::optional<http_answer> fallback; ///< failure of a backend server, delivered if a repeat brings nothing better
+};
+
+/// A call on the backend server beside this node.
+struct serving_call {
+    std::uint64_t link = ownLink;
+    std::uint64_t id = 0; ///< of the calling node
+    wire::call_request_data content;
+    time_point deadline {};
+    time_point startedAt {};
+    bool started = false;
+    std::uint64_t generation = 0; ///< of the backend server that runs it
+};
+
+struct serving_key {
+    std::uint64_t link = ownLink;
+    std::uint64_t id = 0;
+    auto operator<=>(const serving_key&) const = default;
+};
+
+/// A node that is known by address only.
+struct unmet_node {
+    time_point since {};
+    time_point askedAt {};
+};
+
+/// What the node beside it knows of its backend server.
+struct local_backend {
+    std::string id;
+    std::int64_t born = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t generation = 0; ///< grows with each backend server
+    bool leaving = false; ///< draining or departed
+    bool reachable = true;
+    time_point leftAt {}; ///< when its leaving was acknowledged
+};
+
+struct node::state {
+    explicit state(node_options given);
+
+    node_options options;
+    std::shared_ptr<const configuration_index> config;
+    std::string document;
+    rate_sharing rates;
+    retry_allowance retries;
+    random_source random;
+    figures counts;
+
+    // ---- Requests of clients (entry.cpp) ----
+    std::unordered_map<std::uint64_t, entry_call> calls;
+    std::unordered_map<std::uint64_t, std::uint64_t> callOfAttempt;
+    std::set<std::pair<time_point, std::uint64_t>> deadlines;
+    std::unordered_map<std::string, std::vector<double>> splitCredit; ///< by route
+    std::uint64_t nextAttempt = 1;
+
+    void accept(client_request request, time_point now, actions& out);
+    void abandon(std::uint64_t call, time_point now, actions& out);
+    void send(entry_call& call, time_point now, actions& out);
+    void expireCalls(time_point now, actions& out);
+    void attemptAnswered(std::uint64_t attempt, http_answer answer, time_point now, actions& out);
+    void attemptFailed(std::uint64_t attempt, failure_kind kind, duration retryAfter, time_point now, actions& out);
+    void loseAttempts(const std::string& at, failure_kind kind, time_point now, actions& out);
+    const std::string& chooseService(const route& rule);
+    endpoint* choosePlace(const entry_call& call, time_point now);
+    entry_call* endAttempt(std::uint64_t attempt, time_point now);
+    void cancelAttempt(entry_call& call, actions& out);
+    void answerOwn(entry_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out);
+    void deliver(entry_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out);
+
+    // ---- The backend server beside this node (serving.cpp) ----
+    local_backend backend;
+    admission gate;
+    std::unordered_map<std::uint64_t, serving_call> serving;
+    std::map<serving_key, std::uint64_t> servingOf;
+    std::uint64_t nextServing = 1;
+    double latency = 0; ///< recent mean in microseconds; 0: unknown
+    double failures = 0; ///< recent part of failed calls
+
+    void serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out);
+    void unserve(const serving_key& key, time_point now, actions& out);
+    void unserveLink(std::uint64_t link, time_point now, actions& out);
+    void backendEnded(backend_result result, time_point now, actions& out);
+    void startServing(std::uint64_t serving, time_point now, actions& out);
+    void carryOut(const admission_actions& decided, time_point now, actions& out);
+    void refuseServing(std::uint64_t serving, refusal_reason reason, duration retryAfter, time_point now, actions& out);
+    void respondFailure(const serving_key& key, failure_kind kind, duration retryAfter, time_point now, actions& out);
+    void reportBackend(const backend_report& report, time_point now, actions& out);
+    void departBackend(const std::string& id, time_point now, actions& out);
+    void replaceBackend(const backend_report& report, time_point now, actions& out);
+    void leaveBackend(time_point now, actions& out);
+    void stopServing(refusal_reason reason, time_point now, actions& out);
+    bool mayServe(time_point now) const;
+    time_point servingEnds() const;
+    void learnOutcome(bool failed, duration took);
+    endpoint_load ownLoad() const;
+    void removeServing(std::uint64_t serving);
+
+    // ---- Other nodes (spread.cpp) ----
+    endpoint self;
+    std::map<std::string, endpoint> peers; ///< by node
+    std::map<socket_address, std::string> peerAt;
+    std::map<socket_address, unmet_node> unmet;
+    time_point statusAt {}; ///< of the next status to the nodes of the region
+    time_point farStatusAt {};
+    bool statusDue = false; ///< a change that others should know at once
+    time_point lastStatus {};
+    std::uint64_t statusSequence = 0;
+    std::uint64_t newestSeen = 0; ///< version of the configuration that some node holds
+    time_point pullAt {};
+
+    void receiveFrame(frame_received received, time_point now, actions& out);
+    void receiveStatus(const status_received& received, time_point now, actions& out);
+    void learnPeer(const wire::status_data& status, const socket_address& address, time_point now, actions& out);
+    void spreadStatus(time_point now, actions& out);
+    std::string ownStatus(bool introduce, time_point now);
+    void pullConfiguration(time_point now, actions& out);
+    void useConfiguration(configuration_received received, time_point now, actions& out);
+    void listNodes(const nodes_listed& listed, time_point now);
+    void forgetSilent(time_point now, actions& out);
+    endpoint* peerByAddress(const socket_address& address);
+
+    void handle(event event, time_point now, actions& out);
+    void tick(time_point now, actions& out);
+    time_point nextTimer() const;
+};
+
+/// Appends a line of the structured log.
+inline void log(actions& out, std::string name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    out.emplace_back(log_event { std::move(name), std::move(fields) });
+}
+
+inline std::string milliseconds(duration value) { return std::to_string(value.count() / 1000); }
+
+} // namespace limpet::mesh
--- /dev/null
+++ b/src/libproxy/http_reader.cpp
@@ -0,0 +1,188 @@
+#include "http_reader.h"
+#include <algorithm>
+#include <strings.h>
+
+namespace limpet::proxy {
+namespace {
+
+    constexpr int skipBody = 1;
+
+    bool sameName(std::string_view left, std::string_view right)
+    {
+        return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+    }
+
+} // namespace
+
+const std::string* findHeader(const std::vector<header>& headers, std::string_view name)
+{
+    const auto found
+        = std::find_if(headers.begin(), headers.end(), [&](const header& each) { return sameName(each.name, name); });
+    return found == headers.end() ? nullptr : &found->value;
+}
+
+http_reader::http_reader(http_parser_type type, std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
+    : m_type(type)
+    , m_maxHeaderBytes(maxHeaderBytes)
+    , m_maxBodyBytes(maxBodyBytes)
+{
+    restart();
+}
+
+void http_reader::setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
+{
+    m_maxHeaderBytes = maxHeaderBytes;
+    m_maxBodyBytes = maxBodyBytes;
+}
+
+void http_reader::restart(bool expectBody)
+{
+    http_parser_init(&m_parser, m_type);
+    m_parser.data = this;
+    m_state = reader_state::reading;
+    m_begun = false;
+    m_headersComplete = false;
+    m_keepAlive = false;
+    m_expectBody = expectBody;
+    m_valueLast = true;
+    m_headerBytes = 0;
+    m_status = 0;
+    m_method.clear();
+    m_target.clear();
+    m_headers.clear();
+    m_body = {};
+}
+
+http_parser_settings http_reader::makeSettings()
+{
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+        of(parser).m_begun = true;
+        return 0;
+    };
+    settings.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+        of(parser).m_target.append(at, length);
+        return of(parser).countHeaderBytes(length);
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+        return of(parser).onHeaderField({ at, length });
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+        return of(parser).onHeaderValue({ at, length });
+    };
+    settings.on_headers_complete = [](http_parser* parser) { return of(parser).onHeadersComplete(); };
+    settings.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+        return of(parser).onBody({ at, length });
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+        auto& reader = of(parser);
+        // After the end of the stream this is not known any more.
+        reader.m_keepAlive = http_should_keep_alive(parser) != 0;
+        reader.m_state = reader_state::complete;
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    return settings;
+}
+
+int http_reader::countHeaderBytes(std::size_t bytes)
+{
+    m_headerBytes += bytes;
+    if (m_headerBytes <= m_maxHeaderBytes)
+        return 0;
+    m_state = reader_state::headersTooLarge;
+    return 1;
+}
+
+int http_reader::onHeaderField(std::string_view part)
+{
+    // Trailers after a chunked body are not passed on.
+    if (m_headersComplete)
+        return countHeaderBytes(part.size());
+    if (m_valueLast)
+        m_headers.emplace_back();
+    m_valueLast = false;
+    m_headers.back().name += part;
+    return countHeaderBytes(part.size() + 2);
+}
+
+int http_reader::onHeaderValue(std::string_view part)
+{
+    if (m_headersComplete)
+        return countHeaderBytes(part.size());
+    m_valueLast = true;
+    m_headers.back().value += part;
+    return countHeaderBytes(part.size() + 2);
+}
+
+int http_reader::onHeadersComplete()
+{
+    m_headersComplete = true;
+    m_status = static_cast<int>(m_parser.status_code);
+    if (m_type == HTTP_REQUEST)
+        m_method = http_method_str(static_cast<http_method>(m_parser.method));
+    const bool lengthKnown = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    if (lengthKnown && m_expectBody && m_parser.content_length > m_maxBodyBytes) {
+        m_state = reader_state::bodyTooLarge;
+        return -1;
+    }
+    return m_expectBody ? 0 : skipBody;
+}
+
+int http_reader::onBody(std::string_view part)
+{
+    if (m_body.size() + part.size() > m_maxBodyBytes) {
+        m_state = reader_state::bodyTooLarge;
+        return 1;
+    }
+    m_body += part;
+    return 0;
+}
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    static const auto settings = makeSettings();
+    const auto used = http_parser_execute(&m_parser, &settings, bytes.data(), bytes.size());
+    const auto code = HTTP_PARSER_ERRNO(&m_parser);
+    const bool stopped = code == HPE_OK || code == HPE_PAUSED;
+    if (m_parser.upgrade != 0 || (!stopped && m_state == reader_state::reading))
+        m_state = code == HPE_HEADER_OVERFLOW ? reader_state::headersTooLarge : reader_state::malformed;
+    return used;
+}
+
+void http_reader::feedEnd()
+{
+    if (m_state == reader_state::reading)
+        feed({});
+    if (m_state == reader_state::reading)
+        m_state = reader_state::malformed;
+}
+
+void appendHeaders(std::string& out, const std::vector<header>& headers, std::size_t contentLength)
+{
+    for (const auto& each : headers) {
+        out += each.name;
+        out += ": ";
+        out += each.value;
+        out += "\r\n";
+    }
+    out += "Content-Length: ";
+    out += std::to_string(contentLength);
+    out += "\r\n\r\n";
+}
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+#define LIMPET_REASON(CODE, NAME, TEXT)                                                                                \
+    case CODE:                                                                                                         \
+        return #TEXT;
+        HTTP_STATUS_MAP(LIMPET_REASON)
+#undef LIMPET_REASON
+    default:
+        return "Unknown";
+    }
+}
+
+} // namespace limpet::proxy
--- /dev/null
+++ b/src/libproxy/http_reader.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// Whole HTTP/1.1 messages from a byte stream.
+
+#include <http_parser.h>
+#include <limpetcroft/proxy.h>
+
+namespace limpet::proxy {
+
+enum class reader_state : std::uint8_t {
+    reading,
+    complete, ///< the message can be taken; later bytes were left alone
+    headersTooLarge,
+    bodyTooLarge,
+    malformed,
+};
+
+/// Collects one message after the other. It stops behind each one.
+class http_reader {
+public:
+    http_reader(http_parser_type type, std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
+    http_reader(const http_reader&) = delete;
+    http_reader& operator=(const http_reader&) = delete;
+
+    void setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
+    /// Prepares for the next message. Answers to HEAD have no body.
+    void restart(bool expectBody = true);
+    /// Reads up to the end of the message and returns how many bytes it used.
+    std::size_t feed(std::string_view bytes);
+    /// The stream has ended, which completes an answer without a length.
+    void feedEnd();
+    reader_state state() const { return m_state; }
+    /// Bytes of a message have arrived.
+    bool begun() const { return m_begun; }
+    bool headersComplete() const { return m_headersComplete; }
+    bool keepAlive() const { return m_keepAlive; }
+    int status() const { return m_status; }
+    const std::string& method() const { return m_method; }
+    std::string& target() { return m_target; }
+    std::vector<header>& headers() { return m_headers; }
+    std::string& body() { return m_body; }
+
+private:
+    static http_parser_settings makeSettings();
+    static http_reader& of(http_parser* parser) { return *static_cast<http_reader*>(parser->data); }
+    int onHeaderField(std::string_view part);
+    int onHeaderValue(std::string_view part);
+    int onHeadersComplete();
+    int onBody(std::string_view part);
+    int countHeaderBytes(std::size_t bytes);
+
+    http_parser m_parser {};
+    http_parser_type m_type;
+    std::size_t m_maxHeaderBytes;
+    std::size_t m_maxBodyBytes;
+    reader_state m_state = reader_state::reading;
+    bool m_begun = false;
+    bool m_headersComplete = false;
+    bool m_keepAlive = false;
+    bool m_expectBody = true;
+    bool m_valueLast = true;
+    std::size_t m_headerBytes = 0;
+    int m_status = 0;
+    std::string m_method;
+    std::string m_target;
+    std::vector<header> m_headers;
+    std::string m_body;
+};
+
+/// Appends the header lines and the empty line that ends them.
+void appendHeaders(std::string& out, const std::vector<header>& headers, std::size_t contentLength);
+std::string_view reasonPhrase(int status);
+
+} // namespace limpet::proxy
--- /dev/null
+++ b/src/libproxy/sockets.cpp
@@ -0,0 +1,166 @@
+#include "sockets.h"
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace limpet::proxy {
+namespace {
+
+    constexpr int acceptBacklog = 4096;
+    constexpr std::size_t readBytes = 64 * 1024;
+
+    tl::unexpected<error> cannotBind(const socket_address& address)
+    {
+        return fail(error_kind::unavailable,
+            "cannot listen on " + toText(address) + ": " + std::strerror(errno)
+                + "; check the address in the settings and whether another process uses it");
+    }
+
+} // namespace
+
+result<socket_address> parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    socket_address address;
+    unsigned port = 0;
+    if (colon != std::string_view::npos) {
+        address.ip = text.substr(0, colon);
+        const auto digits = text.substr(colon + 1);
+        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+        constexpr unsigned highestPort = 65535;
+        if (parsed.ec == std::errc {} && parsed.ptr == digits.data() + digits.size() && port <= highestPort) {
+            address.port = static_cast<std::uint16_t>(port);
+            in_addr binary {};
+            if (inet_pton(AF_INET, address.ip.c_str(), &binary) == 1)
+                return address;
+        }
+    }
+    return fail(error_kind::invalidArgument, "\"" + std::string(text) + "\" is no address; write it as IP:PORT");
+}
+
+std::string toText(const socket_address& address) { return address.ip + ":" + std::to_string(address.port); }
+
+sockaddr_in toSockaddr(const socket_address& address)
+{
+    sockaddr_in binary {};
+    binary.sin_family = AF_INET;
+    binary.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &binary.sin_addr);
+    return binary;
+}
+
+socket_address fromSockaddr(const sockaddr_in& address)
+{
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return { text.data(), ntohs(address.sin_port) };
+}
+
+result<int> openListener(const socket_address& address)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const auto binary = toSockaddr(address);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&binary);
+    if (bind(descriptor, generic, sizeof binary) == 0 && ::listen(descriptor, acceptBacklog) == 0)
+        return descriptor;
+    auto failure = cannotBind(address);
+    close(descriptor);
+    return failure;
+}
+
+result<int> openDatagram(const socket_address& address)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const auto binary = toSockaddr(address);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&binary), sizeof binary) == 0)
+        return descriptor;
+    auto failure = cannotBind(address);
+    close(descriptor);
+    return failure;
+}
+
+int acceptOne(int listener, socket_address& peer)
+{
+    sockaddr_in binary {};
+    socklen_t length = sizeof binary;
+    const int descriptor
+        = accept4(listener, reinterpret_cast<sockaddr*>(&binary), &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0)
+        return -1;
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    peer = fromSockaddr(binary);
+    return descriptor;
+}
+
+int startConnect(const socket_address& address, duration unacknowledged)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return -1;
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto timeout = static_cast<unsigned>(std::chrono::ceil<std::chrono::milliseconds>(unacknowledged).count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    const auto binary = toSockaddr(address);
+    if (connect(descriptor, reinterpret_cast<const sockaddr*>(&binary), sizeof binary) == 0 || errno == EINPROGRESS)
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+bool connectSucceeded(int descriptor)
+{
+    int failure = 0;
+    socklen_t length = sizeof failure;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
+}
+
+read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& piece)
+{
+    const bool ending = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    static thread_local std::array<char, readBytes> buffer;
+    while (true) {
+        const auto count = recv(descriptor, buffer.data(), buffer.size(), 0);
+        if (count == 0)
+            return read_outcome::ended;
+        if (count < 0)
+            return errno == EAGAIN || errno == EINTR ? read_outcome::drained : read_outcome::broken;
+        const auto got = static_cast<std::size_t>(count);
+        if (!piece({ buffer.data(), got }))
+            return read_outcome::drained;
+        // The descriptor is edge-triggered: bytes that come after a short read raise a new event.
+        if (got < buffer.size() && !ending)
+            return read_outcome::drained;
+    }
+}
+
+bool write_buffer::flush(int descriptor)
+{
+    while (!empty()) {
+        const auto count = send(descriptor, m_bytes.data() + m_sent, size(), MSG_NOSIGNAL);
+        if (count < 0)
+            return errno == EAGAIN || errno == EINTR;
+        m_sent += static_cast<std::size_t>(count);
+    }
+    clear();
+    return true;
+}
+
+void write_buffer::clear()
+{
+    m_bytes.clear();
+    m_sent = 0;
+    constexpr std::size_t keptBytes = 64 * 1024;
+    if (m_bytes.capacity() > keptBytes)
+        m_bytes.shrink_to_fit();
+}
+
+} // namespace limpet::proxy
--- /dev/null
+++ b/src/libproxy/status_socket.cpp
@@ -0,0 +1,49 @@
+#include "sockets.h"
+#include <sys/socket.h>
+
+namespace limpet::proxy {
+namespace {
+
+    constexpr std::size_t maxDatagramBytes = 64 * 1024;
+
+} // namespace
+
+status_socket::status_socket(reactor& loop, socket_address address, receive_callback callback)
+    : m_loop(loop)
+    , m_address(std::move(address))
+    , m_callback(std::move(callback))
+{
+}
+
+result<void> status_socket::open()
+{
+    const auto descriptor = openDatagram(m_address);
+    if (!descriptor)
+        return tl::unexpected(descriptor.error());
+    m_socket = watched_socket(m_loop, *descriptor, [this](std::uint32_t) { receive(); });
+    return {};
+}
+
+void status_socket::receive()
+{
+    std::string buffer(maxDatagramBytes, '\0');
+    while (true) {
+        sockaddr_in from {};
+        socklen_t length = sizeof from;
+        const auto count
+            = recvfrom(m_socket.get(), buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&from), &length);
+        if (count < 0)
+            return;
+        m_callback({ fromSockaddr(from), buffer.substr(0, static_cast<std::size_t>(count)) });
+    }
+}
+
+void status_socket::send(const socket_address& peer, std::string_view bytes)
+{
+    const auto binary = toSockaddr(peer);
+    // A datagram that cannot be sent now is like one that is lost: the next status makes up for it.
+    sendto(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&binary),
+        sizeof binary);
+}
+
+} // namespace limpet::proxy
