Stop in time, and ask a backend server before a new process believes it

Cause 1: after a planned leave the registry kept asking for a timer in the past, and the event loop ran timers that were set during the same turn without end.

Change: no timers after a leave; a timer set during a turn waits for the next; a backend server that this process has not used yet is asked for its health first, or has to state itself ready for longer than any leaving one serves. The same check finds it at the start of a process before its next heartbeat.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -299,6 +299,10 @@
     duration statusInterval = std::chrono::milliseconds(500);
     duration farStatusInterval = std::chrono::milliseconds(1000); ///< to other regions
     duration forgetAfter = std::chrono::seconds(30);
+    duration checkInterval = std::chrono::milliseconds(500); ///< between two checks of an unknown backend server
+    /// A backend server that goes on stating that it is ready for so long after its first statement is believed without
+    /// a check that succeeds. One that is leaving has stopped by then.
+    duration trustAfter = std::chrono::milliseconds(5500);
     double retryRatio = 0.2; ///< bound on the repeated sends to a service, as a part of its requests
     double retryReserve = 50; ///< that the bound allows on top, of all nodes together
     double slotPart = 0.94; ///< of a backend server's slots that are used; many slow down when full
@@ -342,6 +346,11 @@
 struct backend_departure {
     std::string id;
 };
+/// Answer to check_backend.
+struct backend_checked {
+    std::string id; ///< empty: no answer, or one that states no identifier
+    bool healthy = false; ///< and not leaving
+};
 /// The backend server beside this node refuses connections, or takes them again.
 struct backend_reachable {
     bool reachable = false;
@@ -370,9 +379,9 @@
 };
 struct leave_request { };
 
-using event
-    = std::variant<client_request, client_gone, backend_result, backend_report, backend_departure, backend_reachable,
-        frame_received, link_closed, status_received, configuration_received, nodes_listed, leave_request>;
+using event = std::variant<client_request, client_gone, backend_result, backend_report, backend_departure,
+    backend_checked, backend_reachable, frame_received, link_closed, status_received, configuration_received,
+    nodes_listed, leave_request>;
 
 struct answer_client {
     std::uint64_t call = 0;
@@ -406,12 +415,16 @@
 struct cancel_on_backend {
     std::uint64_t attempt = 0;
 };
+/// Asks the backend server beside this node who it is and whether it takes work.
+struct check_backend {
+    std::string healthPath;
+};
 /// A document of a newer version came from another node.
 struct offer_document {
     std::string document;
 };
 using action = std::variant<answer_client, send_frame, reply_frame, send_status, run_on_backend, cancel_on_backend,
-    offer_document, log_event>;
+    check_backend, offer_document, log_event>;
 using actions = std::vector<action>;
 
 struct figures {
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -194,7 +194,7 @@
 };
 
 struct links_options {
-    duration connectTimeout = std::chrono::milliseconds(1200);
+    duration connectTimeout = std::chrono::milliseconds(600);
     duration pingAfter = std::chrono::milliseconds(500); ///< without bytes from a peer that owes some
     duration silence = std::chrono::milliseconds(1600); ///< without bytes after a ping: the link is replaced
     duration idle = std::chrono::seconds(30);
@@ -250,6 +250,7 @@
     std::string endpoint; ///< the backend server that is meant
     std::string callerService;
     std::string notRun; ///< on an answer: the request did not run
+    std::string instance; ///< on an answer to a health check: identifier of the backend server
     std::string signature; ///< on every answer of a backend server to a request
 };
 
--- /dev/null
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -0,0 +1,141 @@
+// Guards what a node believes of the backend server beside it, and that a leaving one gets no new work.
+
+#include "mesh_sample_test.h"
+
+using namespace limpet;
+using namespace limpet::mesh;
+using namespace limpet::mesh::testing_support;
+using namespace std::chrono_literals;
+
+namespace {
+
+backend_report report(const std::string& id, std::int64_t born, std::uint64_t sequence, bool draining = false)
+{
+    backend_report made;
+    made.id = id;
+    made.born = born;
+    made.sequence = sequence;
+    made.service = "stock";
+    made.slots = 10;
+    made.draining = draining;
+    return made;
+}
+
+// The bench's hunt-1949-35: a node acknowledged that its backend server leaves, was restarted, believed a delayed
+// heartbeat of before, and sent requests to it after the bound.
+TEST(backend, delayedHeartbeatAfterARestartIsCheckedFirst)
+{
+    driven_node driven;
+    driven.configure();
+    driven.take<check_backend>();
+    driven.handle(report("i-1", 5, 9));
+    driven.handle(backend_checked { "i-1", false });
+    driven.request();
+    EXPECT_TRUE(driven.take<run_on_backend>().empty());
+}
+
+TEST(backend, confirmedHeartbeatGetsWork)
+{
+    driven_node driven;
+    driven.configure();
+    driven.handle(report("i-1", 5, 9));
+    driven.handle(backend_checked { "i-1", true });
+    driven.request();
+    const auto runs = driven.take<run_on_backend>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs.front().endpoint, "i-1");
+}
+
+// After a restart of the node alone, its backend server is found before the next heartbeat comes.
+TEST(backend, isFoundByACheckAtTheStart)
+{
+    driven_node driven;
+    driven.configure();
+    ASSERT_EQ(driven.take<check_backend>().size(), 1U);
+    driven.handle(backend_checked { "i-1", true });
+    driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 1U);
+    driven.handle(report("i-1", 5, 9));
+    driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 1U);
+}
+
+// A health answer may be wrong; a backend server that goes on stating that it is ready is not leaving.
+TEST(backend, isTrustedWhenItKeepsStatingItselfReady)
+{
+    driven_node driven;
+    driven.configure();
+    for (std::uint64_t sequence = 1; sequence <= 6; ++sequence) {
+        driven.handle(report("i-1", 5, sequence));
+        driven.handle(backend_checked { "i-1", false });
+        driven.advance(1500ms);
+    }
+    driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 1U);
+}
+
+TEST(backend, lateHeartbeatOfAnEarlierStartIsIgnored)
+{
+    driven_node driven;
+    driven.configure();
+    driven.addBackend("i-2");
+    driven.handle(report("i-1", 3, 50));
+    driven.handle(backend_checked { "i-1", true });
+    driven.request();
+    const auto runs = driven.take<run_on_backend>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs.front().endpoint, "i-2");
+}
+
+TEST(backend, leavingGetsWorkOnlyUntilItsDrainTime)
+{
+    driven_node driven;
+    driven.configure();
+    driven.addBackend();
+    driven.handle(report("i-1", 5, 100, true));
+    driven.advance(2600ms);
+    const auto call = driven.request();
+    EXPECT_TRUE(driven.take<run_on_backend>().empty());
+    EXPECT_EQ(driven.statusOf(call), 503);
+}
+
+// Requests that wait for a slot when the drain time ends have not run and are refused at once.
+TEST(backend, queuedRequestsAreRefusedWhenTheDrainTimeEnds)
+{
+    driven_node driven;
+    auto config = sampleConfiguration();
+    for (auto& each : config.routes)
+        each.timeout = each.target = 60s;
+    driven.configure(config);
+    driven.addBackend("i-1", 2);
+    for (int count = 0; count < 4; ++count)
+        driven.request();
+    const auto started = driven.take<run_on_backend>().size();
+    ASSERT_LT(started, 4U);
+    driven.handle(backend_departure { "i-1" });
+    driven.advance(1000ms);
+    EXPECT_TRUE(driven.take<answer_client>().empty());
+    driven.advance(950ms);
+    const auto answers = driven.take<answer_client>();
+    EXPECT_EQ(answers.size(), 4 - started);
+    for (const auto& each : answers)
+        EXPECT_EQ(each.content.status, 503);
+}
+
+// Slots become known with the first heartbeat; what runs already counts against them.
+TEST(backend, slotsThatBecomeKnownLaterCountWhatRuns)
+{
+    driven_node driven;
+    driven.configure();
+    driven.handle(backend_checked { "i-1", true });
+    for (int count = 0; count < 3; ++count)
+        driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 3U);
+    auto first = report("i-1", 5, 9);
+    first.slots = 4;
+    driven.handle(first);
+    driven.request();
+    EXPECT_TRUE(driven.take<run_on_backend>().empty());
+}
+
+} // namespace
--- /dev/null
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -0,0 +1,126 @@
+// Guards a node's entry in the store: written under a lease, renewed, written again after it lapsed or after an outage,
+// and given up on a planned stop.
+
+#include <gtest/gtest.h>
+#include <limpetcroft/mesh.h>
+
+using namespace limpet;
+using namespace limpet::mesh;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start { duration(1000s) };
+
+/// A store that answers what it is asked, or nothing while it is down.
+struct answering_store {
+    store_lease nextLease = 7;
+    bool down = false;
+    bool leaseLapsed = false;
+    std::vector<store_operation> seen;
+
+    result<store_reply> answer(const store_operation& operation)
+    {
+        seen.push_back(operation);
+        if (down)
+            return fail(error_kind::unavailable, "down");
+        if (std::holds_alternative<store_get>(operation))
+            return store_get_reply { {}, 10 };
+        if (std::holds_alternative<store_txn>(operation))
+            return store_txn_reply { true, {}, 11 };
+        if (std::holds_alternative<store_lease_grant>(operation)) {
+            leaseLapsed = false;
+            return store_lease_reply { ++nextLease, 6s };
+        }
+        return store_lease_reply { nextLease, leaseLapsed ? 0s : 6s };
+    }
+
+    template <typename Operation> std::size_t count() const
+    {
+        return static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(),
+            [](const store_operation& each) { return std::holds_alternative<Operation>(each); }));
+    }
+};
+
+struct driven_registry {
+    answering_store store;
+    mesh::registry subject { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
+    time_point now = start;
+
+    void carryOut(mesh::registry::outcome out)
+    {
+        while (!out.calls.empty()) {
+            mesh::registry::outcome next;
+            for (const auto& call : out.calls)
+                subject.handle({ call.token, store.answer(call.operation) }, now, next);
+            out = std::move(next);
+        }
+    }
+
+    void runFor(duration length)
+    {
+        const auto end = now + length;
+        while (now < end) {
+            mesh::registry::outcome out;
+            subject.tick(now, out);
+            carryOut(std::move(out));
+            now += 50ms;
+        }
+    }
+};
+
+TEST(registry, writesItsEntryUnderALeaseAndRenewsIt)
+{
+    driven_registry driven;
+    driven.runFor(10s);
+    EXPECT_EQ(driven.store.count<store_lease_grant>(), 1U);
+    EXPECT_EQ(driven.store.count<store_txn>(), 1U);
+    EXPECT_GE(driven.store.count<store_lease_keep_alive>(), 3U);
+}
+
+// An entry that lapsed while the store was away has to be back within two seconds of its return.
+TEST(registry, writesItsEntryAgainSoonAfterTheStoreReturns)
+{
+    driven_registry driven;
+    driven.runFor(3s);
+    driven.store.down = true;
+    driven.runFor(9s);
+    driven.store.down = false;
+    driven.store.leaseLapsed = true;
+    const auto before = driven.store.count<store_txn>();
+    driven.runFor(1500ms);
+    EXPECT_EQ(driven.store.count<store_txn>(), before + 1);
+}
+
+// A stopping node whose timers stay due keeps its event loop busy until it is killed.
+TEST(registry, asksForNoMoreTimersAfterItLeft)
+{
+    driven_registry driven;
+    driven.runFor(3s);
+    mesh::registry::outcome out;
+    driven.subject.leave(out);
+    driven.carryOut(std::move(out));
+    EXPECT_EQ(driven.store.count<store_lease_revoke>(), 1U);
+    driven.now += 60s;
+    mesh::registry::outcome later;
+    driven.subject.tick(driven.now, later);
+    EXPECT_TRUE(later.calls.empty());
+    EXPECT_EQ(driven.subject.nextTimer(), time_point::max());
+}
+
+TEST(registry, readsTheConfigurationAgainAfterItsWatchEnded)
+{
+    driven_registry driven;
+    driven.runFor(1s);
+    const auto before = driven.store.seen.size();
+    driven.subject.watchEnded(driven.now);
+    driven.runFor(300ms);
+    bool read = false;
+    for (auto index = before; index < driven.store.seen.size(); ++index) {
+        const auto* get = std::get_if<store_get>(&driven.store.seen[index]);
+        read = read || (get && get->key == "conf");
+    }
+    EXPECT_TRUE(read);
+}
+
+} // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -36,6 +36,7 @@
         void operator()(backend_result& each) const { own.backendEnded(std::move(each), now, out); }
         void operator()(const backend_report& each) const { own.reportBackend(each, now, out); }
         void operator()(const backend_departure& each) const { own.departBackend(each.id, now, out); }
+        void operator()(const backend_checked& each) const { own.backendChecked(each, now, out); }
         void operator()(const backend_reachable& each) const
         {
             if (own.backend.reachable == each.reachable)
@@ -74,6 +75,7 @@
         stopServing(refusal_reason::draining, now, out);
     carryOut(gate.expire(now), now, out);
     retries.setReserve(usedRetryPart * options.retryReserve / static_cast<double>(peers.size() + 1));
+    checkBackend(now, out);
     forgetSilent(now, out);
     pullConfiguration(now, out);
     spreadStatus(now, out);
@@ -88,6 +90,8 @@
         next = std::min(next, *gateTimer);
     if (statusDue)
         next = std::min(next, lastStatus + leastStatusGap);
+    if (config)
+        next = std::min(next, candidate.checkAt);
     if (gate.queued() > 0)
         next = std::min(next, servingEnds());
     for (const auto& [address, each] : unmet)
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -142,6 +142,9 @@
 
 time_point registry::nextTimer() const
 {
+    // After a planned leave nothing is renewed or listed; a configuration may still be read.
+    if (m_left)
+        return of(step::configuration).token == 0 ? of(step::configuration).at : never;
     auto next = never;
     for (const auto& each : m_tasks) {
         if (each.token == 0)
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -239,10 +239,11 @@
     }
 }
 
-/// A later start goes before an earlier one; within one start the higher sequence does.
+/// A later start goes before an earlier one; within one start the higher sequence does. A backend server that was found
+/// by a check has not stated its start yet.
 void node::state::reportBackend(const backend_report& report, time_point now, actions& out)
 {
-    const bool same = report.id == backend.id && report.born == backend.born;
+    const bool same = report.id == backend.id && (report.born == backend.born || backend.born == 0);
     const bool stale = same ? report.sequence <= backend.sequence : report.born < backend.born;
     if (stale) {
         log(out, "heartbeat_ignored",
@@ -251,8 +252,16 @@
                 { "known_born", std::to_string(backend.born) } });
         return;
     }
-    if (!same)
-        replaceBackend(report, now, out);
+    if (!same) {
+        considerBackend(report, now, out);
+        return;
+    }
+    if (self.slots != report.slots) {
+        self.slots = report.slots;
+        resizeGate(report.slots, now, out);
+        statusDue = true;
+    }
+    backend.born = report.born;
     backend.sequence = report.sequence;
     backend.reachable = true;
     self.coldUntil = now + report.cold;
@@ -260,24 +269,101 @@
         leaveBackend(now, out);
 }
 
+/// A backend server that this process has not used yet. Its statement may be old: it may have stated to an earlier
+/// process of this node that it leaves, which this process cannot know. So it is asked before it gets work.
+void node::state::considerBackend(const backend_report& report, time_point now, actions& out)
+{
+    const bool known = candidate.report && candidate.report->id == report.id && candidate.report->born == report.born;
+    if (known && report.sequence <= candidate.report->sequence)
+        return;
+    if (!known) {
+        candidate.statedAt = now;
+        candidate.checks = 0;
+        candidate.checkAt = now;
+    }
+    candidate.report = report;
+    const bool trusted = now - candidate.statedAt >= options.trustAfter;
+    if (report.draining || trusted) {
+        replaceBackend(report, now, out);
+        return;
+    }
+    checkBackend(now, out);
+}
+
+/// Checks the backend server that is not in use yet. Without a statement it is looked for at the start of this process.
+void node::state::checkBackend(time_point now, actions& out)
+{
+    constexpr unsigned mostBlindChecks = 10;
+    if (now < candidate.checkAt || !config)
+        return;
+    const auto* stated = config->findService(candidate.report ? candidate.report->service : options.service);
+    const bool wanted = candidate.report || (backend.id.empty() && candidate.checks < mostBlindChecks);
+    if (!wanted || !stated || stated->healthPath.empty()) {
+        candidate.checkAt = time_point::max();
+        return;
+    }
+    candidate.checkAt = time_point::max();
+    ++candidate.checks;
+    out.emplace_back(check_backend { stated->healthPath });
+}
+
+void node::state::backendChecked(const backend_checked& checked, time_point now, actions& out)
+{
+    const bool meant
+        = candidate.report ? checked.id == candidate.report->id : backend.id.empty() && !checked.id.empty();
+    if (checked.healthy && meant) {
+        backend_report report;
+        report.id = checked.id;
+        report.service = options.service;
+        replaceBackend(candidate.report.value_or(report), now, out);
+        return;
+    }
+    log(out, "backend_unconfirmed",
+        { { "stated", candidate.report ? candidate.report->id : "" }, { "found", checked.id },
+            { "healthy", checked.healthy ? "1" : "0" }, { "checks", std::to_string(candidate.checks) } });
+    candidate.checkAt = now + options.checkInterval;
+}
+
 void node::state::replaceBackend(const backend_report& report, time_point now, actions& out)
 {
     log(out, "backend_joined",
         { { "backend", report.id }, { "service", report.service }, { "slots", std::to_string(report.slots) },
-            { "born", std::to_string(report.born) }, { "before", backend.id } });
+            { "born", std::to_string(report.born) }, { "sequence", std::to_string(report.sequence) },
+            { "before", backend.id } });
     stopServing(refusal_reason::noBackendServer, now, out);
     const auto generation = backend.generation + 1;
     backend = {};
     backend.id = report.id;
     backend.born = report.born;
+    backend.sequence = report.sequence;
     backend.generation = generation;
+    candidate = {};
+    candidate.checkAt = time_point::max();
     self.id = report.id;
     self.service = report.service;
     self.slots = report.slots;
+    self.coldUntil = now + report.cold;
     gate = makeGate(report.slots, options.slotPart);
     latency = 0;
     failures = 0;
     statusDue = true;
+    if (report.draining)
+        leaveBackend(now, out);
+}
+
+/// The backend server stated how many slots it has after it got work. What it runs counts against the new limit.
+void node::state::resizeGate(unsigned slots, time_point now, actions& out)
+{
+    stopServing(refusal_reason::noBackendServer, now, out);
+    gate = makeGate(slots, options.slotPart);
+    for (auto& [serial, call] : serving) {
+        admission_request request;
+        request.id = gateId(serial);
+        request.context.team = call.content.team;
+        request.context.importance = call.content.importance;
+        request.context.remaining = std::max(call.deadline - now, duration(1));
+        gate.offer(request, now);
+    }
 }
 
 void node::state::leaveBackend(time_point now, actions& out)
@@ -294,6 +380,10 @@
 {
     if (id == backend.id && !backend.leaving)
         leaveBackend(now, out);
+    if (candidate.report && candidate.report->id == id) {
+        candidate = {};
+        candidate.checkAt = time_point::max();
+    }
 }
 
 } // namespace limpet::mesh
--- a/src/libmesh/spread.cpp
+++ b/src/libmesh/spread.cpp
@@ -257,6 +257,7 @@
     rates.configure(config->content().teams, now);
     splitCredit.clear();
     statusDue = true;
+    checkBackend(now, out);
 }
 
 } // namespace limpet::mesh
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -59,6 +59,14 @@
     time_point askedAt {};
 };
 
+/// A backend server that has stated itself, or may be there, but is not in use yet.
+struct backend_candidate {
+    std::optional<backend_report> report; ///< its newest statement
+    time_point statedAt {}; ///< its first statement
+    time_point checkAt {}; ///< when to check it again; max: a check is under way, or none is wanted
+    unsigned checks = 0;
+};
+
 /// What the node beside it knows of its backend server.
 struct local_backend {
     std::string id;
@@ -104,6 +112,7 @@
 
     // ---- The backend server beside this node (serving.cpp) ----
     local_backend backend;
+    backend_candidate candidate;
     admission gate;
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingOf;
@@ -121,8 +130,12 @@
     void respondFailure(const serving_key& key, failure_kind kind, duration retryAfter, time_point now, actions& out);
     void reportBackend(const backend_report& report, time_point now, actions& out);
     void departBackend(const std::string& id, time_point now, actions& out);
+    void considerBackend(const backend_report& report, time_point now, actions& out);
+    void checkBackend(time_point now, actions& out);
+    void backendChecked(const backend_checked& checked, time_point now, actions& out);
     void replaceBackend(const backend_report& report, time_point now, actions& out);
     void leaveBackend(time_point now, actions& out);
+    void resizeGate(unsigned slots, time_point now, actions& out);
     void stopServing(refusal_reason reason, time_point now, actions& out);
     bool mayServe(time_point now) const;
     time_point servingEnds() const;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -20,6 +20,7 @@
     constexpr duration stopSpread = std::chrono::milliseconds(2300);
     // Left of the stop time for the last writes.
     constexpr duration stopMargin = std::chrono::milliseconds(700);
+    constexpr duration checkTimeout = std::chrono::seconds(1);
     constexpr duration probeInterval = std::chrono::milliseconds(400);
 
     bool sameName(const std::string& left, const std::string& right)
@@ -116,6 +117,7 @@
     void runOnBackend(const mesh::run_on_backend& run);
     void backendEnded(std::uint64_t attempt, bool idempotent, tl::expected<http_answer, exchange_failure> outcome);
     void probeBackend();
+    void checkBackend(const std::string& healthPath);
     http_answer answerControl(const http_request& request);
     void takeDocument(const std::string& document);
     void tickRegistry();
@@ -273,6 +275,7 @@
             own.backend.cancel(found->second);
             own.exchangeOf.erase(found);
         }
+        void operator()(const mesh::check_backend& each) const { own.checkBackend(each.healthPath); }
         void operator()(const mesh::offer_document& each) const { own.takeDocument(each.document); }
         void operator()(const mesh::log_event& each) const { own.write(each); }
     };
@@ -385,6 +388,23 @@
     });
 }
 
+void mesh_daemon::state::checkBackend(const std::string& healthPath)
+{
+    exchange_request request;
+    request.content.method = "GET";
+    request.content.path = healthPath;
+    request.content.headers = { { "Host", toText(settings.backend) } };
+    request.timeout = checkTimeout;
+    backend.start(std::move(request), [this](tl::expected<http_answer, exchange_failure> outcome) {
+        mesh::backend_checked checked;
+        const auto* id = outcome ? findHeader(outcome->headers, adapter.headers.instance) : nullptr;
+        if (id)
+            checked.id = *id;
+        checked.healthy = outcome && outcome->status == statusOk;
+        handle(std::move(checked));
+    });
+}
+
 http_answer mesh_daemon::state::answerControl(const http_request& request)
 {
     const auto notice = adapter.parseNotice(request);
--- a/src/libproxy/reactor.cpp
+++ b/src/libproxy/reactor.cpp
@@ -106,11 +106,20 @@
 void reactor::runTimers()
 {
     const auto now = bootTime();
-    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
-        const auto handler = std::move(m_timers.begin()->second);
-        m_timerTimes.erase(m_timers.begin()->first.second);
-        m_timers.erase(m_timers.begin());
+    // A timer that is set during this turn waits for the next one, so that descriptors get theirs in between.
+    const auto newest = m_nextSerial;
+    auto next = m_timers.begin();
+    while (next != m_timers.end() && next->first.first <= now) {
+        if (next->first.second >= newest) {
+            ++next;
+            continue;
+        }
+        const auto handler = std::move(next->second);
+        m_timerTimes.erase(next->first.second);
+        m_timers.erase(next);
         handler();
+        // The handler may have changed any of them.
+        next = m_timers.begin();
     }
 }
 
