--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -210,6 +210,7 @@
     std::uint64_t configuration = 0; ///< version that its node holds
     endpoint_load load;
     time_point heard {};
+    std::string statement; ///< its newest status as it was received
     unsigned sentSince = 0; ///< calls sent there since the last report of its load
     unsigned waiting = 0; ///< calls of this node without an answer
     time_point avoidUntil {}; ///< after a broken connection
@@ -217,8 +218,9 @@
 
 struct placement_options {
     duration fresh = std::chrono::milliseconds(1800); ///< an endpoint that was not heard from for so long is left out
-    duration sameRegionPenalty = std::chrono::milliseconds(6); ///< of another availability zone of the region
-    duration otherRegionPenalty = std::chrono::milliseconds(250); ///< round trip and paid bytes
+    duration sameRegionPenalty = std::chrono::milliseconds(60); ///< of another availability zone: paid bytes
+    duration otherRegionPenalty = std::chrono::milliseconds(350); ///< round trip and bytes of the paid link
+    duration farFresh = std::chrono::milliseconds(3500); ///< as fresh, for other regions, whose news comes by relays
     duration defaultLatency = std::chrono::milliseconds(150);
 };
 
@@ -239,7 +241,7 @@
         std::string entryValue;
         std::chrono::seconds timeToLive { 6 };
         duration keepInterval = std::chrono::seconds(2);
-        duration listInterval = std::chrono::seconds(3);
+        duration listInterval = std::chrono::seconds(8);
         duration retryInterval = std::chrono::milliseconds(400);
         duration rewatchDelay = std::chrono::milliseconds(100); ///< after a watch ended
     };
@@ -269,6 +271,7 @@
         std::uint64_t token = 0; ///< of the call in flight; zero: none
     };
     void start(step which, store_operation operation, outcome& out);
+    bool calling() const;
     task& of(step which) { return m_tasks[static_cast<std::size_t>(which)]; }
     const task& of(step which) const { return m_tasks[static_cast<std::size_t>(which)]; }
     void succeed(step which, const store_reply& reply, time_point now, outcome& out);
@@ -297,7 +300,7 @@
     duration drainTime = std::chrono::milliseconds(2500); ///< after the acknowledgement, until the last send
     duration drainMargin = std::chrono::milliseconds(600);
     duration statusInterval = std::chrono::milliseconds(500);
-    duration farStatusInterval = std::chrono::milliseconds(1000); ///< to other regions
+    duration bundleInterval = std::chrono::milliseconds(1000); ///< between regions, of each relay
     duration forgetAfter = std::chrono::seconds(30);
     duration checkInterval = std::chrono::milliseconds(500); ///< between two checks of an unknown backend server
     /// A backend server that goes on stating that it is ready for so long after its first statement is believed without
@@ -367,7 +370,7 @@
 };
 struct status_received {
     socket_address peer;
-    std::string bytes;
+    std::string bytes; ///< a status, or a bundle of them
 };
 struct configuration_received {
     std::shared_ptr<const configuration_index> content;
--- a/src/libmesh/codec.cpp
+++ b/src/libmesh/codec.cpp
@@ -5,18 +5,24 @@
 
     constexpr double perMille = 1000;
 
-    template <typename Table, typename Data> std::string pack(const Data& data)
+    // Tells a bundle from a status.
+    constexpr const char* bundleIdentifier = "LMSB";
+
+    template <typename Table, typename Data>
+    std::string pack(const Data& data, const char* identifier = wire::frameIdentifier())
     {
         flatbuffers::FlatBufferBuilder out;
-        out.Finish(Table::Pack(out, &data), wire::frameIdentifier());
+        out.Finish(Table::Pack(out, &data), identifier);
         return { reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize() };
     }
 
-    template <typename Table> result<typename Table::NativeTableType> unpack(const std::string& bytes, const char* what)
+    template <typename Table>
+    result<typename Table::NativeTableType> unpack(
+        const std::string& bytes, const char* what, const char* identifier = wire::frameIdentifier())
     {
         const auto* buffer = reinterpret_cast<const std::uint8_t*>(bytes.data());
         flatbuffers::Verifier verifier(buffer, bytes.size());
-        if (!verifier.VerifyBuffer<Table>(wire::frameIdentifier()))
+        if (!verifier.VerifyBuffer<Table>(identifier))
             return fail(error_kind::malformed,
                 std::string("a ") + what + " does not verify; check that all nodes run compatible versions");
         typename Table::NativeTableType data;
@@ -34,6 +40,19 @@
 
 result<wire::status_data> parseStatus(const std::string& bytes) { return unpack<wire::status>(bytes, "status"); }
 
+std::string encodeBundle(const wire::bundle_data& bundle) { return pack<wire::bundle>(bundle, bundleIdentifier); }
+
+bool isBundle(const std::string& bytes)
+{
+    constexpr std::size_t leastBytes = 8;
+    return bytes.size() >= leastBytes && flatbuffers::BufferHasIdentifier(bytes.data(), bundleIdentifier);
+}
+
+result<wire::bundle_data> parseBundle(const std::string& bytes)
+{
+    return unpack<wire::bundle>(bytes, "bundle", bundleIdentifier);
+}
+
 wire::load_report_data packLoad(const endpoint_load& load)
 {
     wire::load_report_data packed;
--- a/src/libmesh/codec.h
+++ b/src/libmesh/codec.h
@@ -14,6 +14,12 @@
 /// Errors: malformed.
 result<wire::status_data> parseStatus(const std::string& bytes);
 
+std::string encodeBundle(const wire::bundle_data& bundle);
+/// Whether a datagram holds a bundle rather than one status.
+bool isBundle(const std::string& bytes);
+/// Errors: malformed.
+result<wire::bundle_data> parseBundle(const std::string& bytes);
+
 wire::load_report_data packLoad(const endpoint_load& load);
 endpoint_load unpackLoad(const wire::load_report_data& load);
 
--- a/src/libmesh/entry.cpp
+++ b/src/libmesh/entry.cpp
@@ -11,7 +11,7 @@
     constexpr priority calledImportance = highestPriority;
     constexpr priority mostImportantRank = highestPriority - 1;
     // Nodes that may refuse a request for lack of room before its client is told to wait.
-    constexpr unsigned mostRefusals = 2;
+    constexpr unsigned mostRefusals = 3;
     // A link that broke is not used for this long unless it is the only way.
     constexpr duration avoidAfterLoss = std::chrono::milliseconds(700);
     // A repeat needs this part of its time, or it is no help.
@@ -89,7 +89,7 @@
     self.state = mayServe(now) && !backend.leaving ? endpoint_state::ready : endpoint_state::down;
     consider(self);
     for (auto& [name, peer] : peers) {
-        if (now - peer.heard <= options.placement.fresh)
+        if (fresh(peer, now))
             consider(peer);
     }
     return best;
--- /dev/null
+++ b/src/libmesh/mesh_fleet_test.cpp
@@ -0,0 +1,218 @@
+// Guards what several nodes do together: membership over relays, fleet-wide rates, repeats, drains and restarts.
+
+#include "mesh_network_test.h"
+
+using namespace limpet;
+using namespace limpet::mesh;
+using namespace limpet::mesh::testing_support;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two regions with two availability zones each; each zone has one node of each service.
+std::unique_ptr<played_network> makeFleet(const mesh::configuration& config, std::uint64_t seed = 1)
+{
+    network_options options;
+    options.seed = seed;
+    auto network = std::make_unique<played_network>(options);
+    for (const std::string region : { "north", "south" }) {
+        for (const std::string zone : { "a", "b" }) {
+            for (const std::string service : { "stock", "orders" })
+                network->add({ region + "-" + zone + "-" + service, region, region + "-" + zone, service });
+        }
+    }
+    network->configure(config);
+    network->introduceAll();
+    network->addBackends();
+    network->runFor(5s);
+    return network;
+}
+
+mesh::configuration withRate(double rate, double burst)
+{
+    auto config = sampleConfiguration();
+    config.teams.front().ratePerSecond = rate;
+    config.teams.front().burst = burst;
+    return config;
+}
+
+TEST(fleet, everyNodeKnowsEveryOther)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    for (const auto& each : network->members())
+        EXPECT_EQ(each->subject->statistics().peers, network->members().size() - 1) << each->where.name;
+}
+
+// The link between regions is paid by volume: news crosses it once for each relay, not once for each pair of nodes.
+TEST(fleet, statusesCrossTheLinkBetweenRegionsOnlyBetweenRelays)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    network->runFor(5s);
+    const auto before = network->statusesBetweenRegions;
+    network->runFor(10s);
+    EXPECT_LE(network->statusesBetweenRegions - before, 2U * 2U * 11U);
+}
+
+// The relays are the first nodes by name. When they are gone, the next ones carry the news.
+TEST(fleet, newsCrossesRegionsAfterBothRelaysAreKilled)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    for (std::size_t index = 0; index < 2; ++index)
+        network->kill(*network->members()[index]);
+    network->runFor(8s);
+    auto& last = *network->members().back();
+    const auto call = network->send(last, "/stock/1");
+    network->runFor(2s);
+    EXPECT_EQ(network->requests[call].status, 200);
+}
+
+TEST(fleet, requestsStayInTheirZoneWhileItHasRoom)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    auto& at = *network->members()[1];
+    network->load(at, "/stock/1", 20, 10s);
+    network->runFor(12s);
+    EXPECT_EQ(network->countStatus(200), network->requests.size());
+    EXPECT_GT(static_cast<double>(network->members()[0]->served), 0.9 * static_cast<double>(network->requests.size()));
+}
+
+TEST(fleet, overloadedZoneSpillsOver)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    auto& at = *network->members()[1];
+    // The backend server of the zone carries 100 requests a second with its ten slots of 100 ms.
+    network->load(at, "/stock/1", 200, 10s);
+    network->runFor(12s);
+    EXPECT_GT(static_cast<double>(network->countStatus(200)), 0.97 * static_cast<double>(network->requests.size()));
+}
+
+struct rate_case {
+    const char* name;
+    double demandPart; ///< of the rate, over all nodes
+    bool oneNode; ///< all of it at one node
+};
+
+class fleet_rate : public testing::TestWithParam<rate_case> { };
+
+// Window of the users' bound on a team's rate: rate x 5 s + burst, and a tenth and 20 requests more.
+TEST_P(fleet_rate, holdsOverEveryWindow)
+{
+    const auto& given = GetParam();
+    constexpr double rate = 40;
+    constexpr double burst = 40;
+    const auto network = makeFleet(withRate(rate, burst));
+    for (auto& each : network->members())
+        each->slots = 200;
+    network->addBackends();
+    network->runFor(6s);
+    for (auto& each : network->members()) {
+        if (given.oneNode && each != network->members().front())
+            continue;
+        const double parts = given.oneNode ? 1 : static_cast<double>(network->members().size());
+        network->load(*each, "/stock/1", given.demandPart * rate / parts, 20s);
+    }
+    network->runFor(22s);
+    std::vector<time_point> admitted;
+    for (const auto& each : network->requests) {
+        if (each.status == 200)
+            admitted.push_back(each.sent);
+    }
+    std::sort(admitted.begin(), admitted.end());
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] > 5s)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    EXPECT_LE(static_cast<double>(most), (rate * 5 + burst) * 1.1 + 20);
+    if (given.demandPart < 1)
+        EXPECT_EQ(network->countStatus(429), 0U);
+    else
+        EXPECT_GT(static_cast<double>(admitted.size()), 0.85 * (rate * 20 + burst));
+}
+
+INSTANTIATE_TEST_SUITE_P(loads, fleet_rate,
+    testing::Values(rate_case { "withinAtAllNodes", 0.8, false }, rate_case { "withinAtOneNode", 0.8, true },
+        rate_case { "fiveTimesAtAllNodes", 5, false }, rate_case { "tenTimesAtOneNode", 10, true },
+        rate_case { "tenTimesAtAllNodes", 10, false }),
+    [](const auto& info) { return info.param.name; });
+
+// A region that is cut off goes on with its share; together the regions stay within the bound.
+TEST(fleet, rateHoldsWhileNodesAreCutOff)
+{
+    constexpr double rate = 40;
+    const auto network = makeFleet(withRate(rate, 40));
+    for (auto& each : network->members())
+        each->slots = 200;
+    network->addBackends();
+    for (auto& each : network->members())
+        network->load(*each, "/stock/1", 15, 20s);
+    network->runFor(5s);
+    network->members()[0]->cut = true;
+    network->members()[4]->cut = true;
+    network->runFor(17s);
+    std::size_t admitted = 0;
+    for (const auto& each : network->requests) {
+        if (each.status == 200 && each.sent > network->now() - 15s)
+            ++admitted;
+    }
+    EXPECT_LE(static_cast<double>(admitted), (rate * 15 + 40) * 1.1 + 20);
+}
+
+// Backend servers that refuse half of their requests while they are healthy must not draw more repeats than the bound.
+TEST(fleet, repeatsStayWithinTheCommonBound)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    for (auto& each : network->members())
+        each->rejects = 0.5;
+    for (auto& each : network->members())
+        network->load(*each, "/stock/1", 15, 10s);
+    network->runFor(12s);
+    std::uint64_t arrivals = 0;
+    for (const auto& each : network->members())
+        arrivals += each->arrivals;
+    const auto sent = network->requests.size();
+    EXPECT_LE(arrivals, sent + static_cast<std::uint64_t>(0.2 * static_cast<double>(sent)) + 50);
+    EXPECT_GT(arrivals, sent);
+}
+
+// A restarted node serves again within its first second.
+TEST(fleet, restartedNodeServesAgain)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    auto& each = *network->members()[0];
+    network->kill(each);
+    network->runFor(1s);
+    network->restart(each);
+    network->runFor(1s);
+    const auto call = network->send(each, "/orders/1", "planners-key", "POST");
+    network->runFor(1s);
+    EXPECT_EQ(network->requests[call].status, 200);
+}
+
+// A request that may run only once and was on a node that died may have run: it is not repeated, and not called unrun.
+TEST(fleet, lostNonIdempotentRequestIsNotRepeated)
+{
+    const auto network = makeFleet(sampleConfiguration());
+    auto& entry = *network->members()[0];
+    for (auto& each : network->members())
+        each->work = 1s;
+    const auto call = network->send(entry, "/orders/1", "planners-key", "POST");
+    network->runFor(100ms);
+    std::uint64_t arrivals = 0;
+    for (auto& each : network->members()) {
+        arrivals += each->arrivals;
+        if (each->running > 0)
+            network->kill(*each);
+    }
+    network->runFor(3s);
+    std::uint64_t after = 0;
+    for (const auto& each : network->members())
+        after += each->arrivals;
+    EXPECT_EQ(arrivals, 1U);
+    EXPECT_EQ(after, 1U);
+    EXPECT_EQ(network->requests[call].status, 502);
+}
+
+} // namespace
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -61,6 +61,14 @@
 struct statusBuilder;
 struct status_data;
 
+struct bundle;
+struct bundleBuilder;
+struct bundle_data;
+
+struct bundled_status;
+struct bundled_statusBuilder;
+struct bundled_status_data;
+
 struct header_entry_data : public flatbuffers::NativeTable {
   typedef header_entry TableType;
   std::string name{};
@@ -1073,6 +1081,9 @@
   std::unique_ptr<limpet::mesh::wire::load_report_data> load{};
   std::vector<std::unique_ptr<limpet::mesh::wire::team_use_data>> teams{};
   bool introduce = false;
+  std::string ip{};
+  uint16_t port = 0;
+  bool news = false;
   status_data() = default;
   status_data(const status_data &o);
   status_data(status_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1097,7 +1108,10 @@
     VT_CONFIGURATION = 26,
     VT_LOAD = 28,
     VT_TEAMS = 30,
-    VT_INTRODUCE = 32
+    VT_INTRODUCE = 32,
+    VT_IP = 34,
+    VT_PORT = 36,
+    VT_NEWS = 38
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -1144,6 +1158,15 @@
   bool introduce() const {
     return GetField<uint8_t>(VT_INTRODUCE, 0) != 0;
   }
+  const flatbuffers::String *ip() const {
+    return GetPointer<const flatbuffers::String *>(VT_IP);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool news() const {
+    return GetField<uint8_t>(VT_NEWS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -1169,6 +1192,10 @@
            verifier.VerifyVector(teams()) &&
            verifier.VerifyVectorOfTables(teams()) &&
            VerifyField<uint8_t>(verifier, VT_INTRODUCE, 1) &&
+           VerifyOffset(verifier, VT_IP) &&
+           verifier.VerifyString(ip()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<uint8_t>(verifier, VT_NEWS, 1) &&
            verifier.EndTable();
   }
   status_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1225,6 +1252,15 @@
   void add_introduce(bool introduce) {
     fbb_.AddElement<uint8_t>(status::VT_INTRODUCE, static_cast<uint8_t>(introduce), 0);
   }
+  void add_ip(flatbuffers::Offset<flatbuffers::String> ip) {
+    fbb_.AddOffset(status::VT_IP, ip);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(status::VT_PORT, port, 0);
+  }
+  void add_news(bool news) {
+    fbb_.AddElement<uint8_t>(status::VT_NEWS, static_cast<uint8_t>(news), 0);
+  }
   explicit statusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1252,11 +1288,15 @@
     uint64_t configuration = 0,
     flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::team_use>>> teams = 0,
-    bool introduce = false) {
+    bool introduce = false,
+    flatbuffers::Offset<flatbuffers::String> ip = 0,
+    uint16_t port = 0,
+    bool news = false) {
   statusBuilder builder_(_fbb);
   builder_.add_configuration(configuration);
   builder_.add_sequence(sequence);
   builder_.add_run(run);
+  builder_.add_ip(ip);
   builder_.add_teams(teams);
   builder_.add_load(load);
   builder_.add_cold_ms(cold_ms);
@@ -1266,6 +1306,8 @@
   builder_.add_availability_zone(availability_zone);
   builder_.add_region(region);
   builder_.add_node(node);
+  builder_.add_port(port);
+  builder_.add_news(news);
   builder_.add_introduce(introduce);
   builder_.add_leaving(leaving);
   builder_.add_state(state);
@@ -1288,13 +1330,17 @@
     uint64_t configuration = 0,
     flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
     const std::vector<flatbuffers::Offset<limpet::mesh::wire::team_use>> *teams = nullptr,
-    bool introduce = false) {
+    bool introduce = false,
+    const char *ip = nullptr,
+    uint16_t port = 0,
+    bool news = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto teams__ = teams ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::team_use>>(*teams) : 0;
+  auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   return limpet::mesh::wire::Createstatus(
       _fbb,
       node__,
@@ -1311,11 +1357,156 @@
       configuration,
       load,
       teams__,
-      introduce);
+      introduce,
+      ip__,
+      port,
+      news);
 }
 
 flatbuffers::Offset<status> Createstatus(flatbuffers::FlatBufferBuilder &_fbb, const status_data *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct bundle_data : public flatbuffers::NativeTable {
+  typedef bundle TableType;
+  std::vector<std::unique_ptr<limpet::mesh::wire::bundled_status_data>> statuses{};
+  bool forwarded = false;
+  bundle_data() = default;
+  bundle_data(const bundle_data &o);
+  bundle_data(bundle_data&&) FLATBUFFERS_NOEXCEPT = default;
+  bundle_data &operator=(bundle_data o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct bundle FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef bundle_data NativeTableType;
+  typedef bundleBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUSES = 4,
+    VT_FORWARDED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>> *statuses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>> *>(VT_STATUSES);
+  }
+  bool forwarded() const {
+    return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STATUSES) &&
+           verifier.VerifyVector(statuses()) &&
+           verifier.VerifyVectorOfTables(statuses()) &&
+           VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
+           verifier.EndTable();
+  }
+  bundle_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(bundle_data *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<bundle> Pack(flatbuffers::FlatBufferBuilder &_fbb, const bundle_data* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct bundleBuilder {
+  typedef bundle Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_statuses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>>> statuses) {
+    fbb_.AddOffset(bundle::VT_STATUSES, statuses);
+  }
+  void add_forwarded(bool forwarded) {
+    fbb_.AddElement<uint8_t>(bundle::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
+  }
+  explicit bundleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<bundle> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<bundle>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<bundle> Createbundle(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>>> statuses = 0,
+    bool forwarded = false) {
+  bundleBuilder builder_(_fbb);
+  builder_.add_statuses(statuses);
+  builder_.add_forwarded(forwarded);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<bundle> CreatebundleDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>> *statuses = nullptr,
+    bool forwarded = false) {
+  auto statuses__ = statuses ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>>(*statuses) : 0;
+  return limpet::mesh::wire::Createbundle(
+      _fbb,
+      statuses__,
+      forwarded);
+}
+
+flatbuffers::Offset<bundle> Createbundle(flatbuffers::FlatBufferBuilder &_fbb, const bundle_data *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct bundled_status_data : public flatbuffers::NativeTable {
+  typedef bundled_status TableType;
+  std::string bytes{};
+};
+
+struct bundled_status FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef bundled_status_data NativeTableType;
+  typedef bundled_statusBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BYTES = 4
+  };
+  const flatbuffers::String *bytes() const {
+    return GetPointer<const flatbuffers::String *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyString(bytes()) &&
+           verifier.EndTable();
+  }
+  bundled_status_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(bundled_status_data *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<bundled_status> Pack(flatbuffers::FlatBufferBuilder &_fbb, const bundled_status_data* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct bundled_statusBuilder {
+  typedef bundled_status Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_bytes(flatbuffers::Offset<flatbuffers::String> bytes) {
+    fbb_.AddOffset(bundled_status::VT_BYTES, bytes);
+  }
+  explicit bundled_statusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<bundled_status> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<bundled_status>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<bundled_status> Createbundled_status(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> bytes = 0) {
+  bundled_statusBuilder builder_(_fbb);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<bundled_status> Createbundled_statusDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateString(bytes) : 0;
+  return limpet::mesh::wire::Createbundled_status(
+      _fbb,
+      bytes__);
+}
+
+flatbuffers::Offset<bundled_status> Createbundled_status(flatbuffers::FlatBufferBuilder &_fbb, const bundled_status_data *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline header_entry_data *header_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<header_entry_data>(new header_entry_data());
   UnPackTo(_o.get(), _resolver);
@@ -1771,7 +1962,10 @@
         leaving(o.leaving),
         configuration(o.configuration),
         load((o.load) ? new limpet::mesh::wire::load_report_data(*o.load) : nullptr),
-        introduce(o.introduce) {
+        introduce(o.introduce),
+        ip(o.ip),
+        port(o.port),
+        news(o.news) {
   teams.reserve(o.teams.size());
   for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new limpet::mesh::wire::team_use_data(*teams_) : nullptr); }
 }
@@ -1792,6 +1986,9 @@
   std::swap(load, o.load);
   std::swap(teams, o.teams);
   std::swap(introduce, o.introduce);
+  std::swap(ip, o.ip);
+  std::swap(port, o.port);
+  std::swap(news, o.news);
   return *this;
 }
 
@@ -1819,6 +2016,9 @@
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<limpet::mesh::wire::load_report_data>(_e->UnPack(_resolver)); }
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<limpet::mesh::wire::team_use_data>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = introduce(); _o->introduce = _e; }
+  { auto _e = ip(); if (_e) _o->ip = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = news(); _o->news = _e; }
 }
 
 inline flatbuffers::Offset<status> status::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1844,6 +2044,9 @@
   auto _load = _o->load ? Createload_report(_fbb, _o->load.get(), _rehasher) : 0;
   auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::team_use>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return Createteam_use(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _introduce = _o->introduce;
+  auto _ip = _o->ip.empty() ? 0 : _fbb.CreateString(_o->ip);
+  auto _port = _o->port;
+  auto _news = _o->news;
   return limpet::mesh::wire::Createstatus(
       _fbb,
       _node,
@@ -1860,7 +2063,77 @@
       _configuration,
       _load,
       _teams,
-      _introduce);
+      _introduce,
+      _ip,
+      _port,
+      _news);
+}
+
+inline bundle_data::bundle_data(const bundle_data &o)
+      : forwarded(o.forwarded) {
+  statuses.reserve(o.statuses.size());
+  for (const auto &statuses_ : o.statuses) { statuses.emplace_back((statuses_) ? new limpet::mesh::wire::bundled_status_data(*statuses_) : nullptr); }
+}
+
+inline bundle_data &bundle_data::operator=(bundle_data o) FLATBUFFERS_NOEXCEPT {
+  std::swap(statuses, o.statuses);
+  std::swap(forwarded, o.forwarded);
+  return *this;
+}
+
+inline bundle_data *bundle::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<bundle_data>(new bundle_data());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void bundle::UnPackTo(bundle_data *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = statuses(); if (_e) { _o->statuses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->statuses[_i] = std::unique_ptr<limpet::mesh::wire::bundled_status_data>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = forwarded(); _o->forwarded = _e; }
+}
+
+inline flatbuffers::Offset<bundle> bundle::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bundle_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createbundle(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<bundle> Createbundle(flatbuffers::FlatBufferBuilder &_fbb, const bundle_data *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const bundle_data* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _statuses = _o->statuses.size() ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::bundled_status>> (_o->statuses.size(), [](size_t i, _VectorArgs *__va) { return Createbundled_status(*__va->__fbb, __va->__o->statuses[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _forwarded = _o->forwarded;
+  return limpet::mesh::wire::Createbundle(
+      _fbb,
+      _statuses,
+      _forwarded);
+}
+
+inline bundled_status_data *bundled_status::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<bundled_status_data>(new bundled_status_data());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void bundled_status::UnPackTo(bundled_status_data *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = bytes(); if (_e) _o->bytes = _e->str(); }
+}
+
+inline flatbuffers::Offset<bundled_status> bundled_status::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bundled_status_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createbundled_status(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<bundled_status> Createbundled_status(flatbuffers::FlatBufferBuilder &_fbb, const bundled_status_data *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const bundled_status_data* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _bytes = _o->bytes.empty() ? 0 : _fbb.CreateString(_o->bytes);
+  return limpet::mesh::wire::Createbundled_status(
+      _fbb,
+      _bytes);
 }
 
 inline const limpet::mesh::wire::frame *Getframe(const void *buf) {
--- /dev/null
+++ b/src/libmesh/mesh_network_test.h
@@ -0,0 +1,342 @@
+#pragma once
+
+// Several nodes with backend servers and clients in one process, in simulated time and from a seed. Frames, statuses
+// and work take time; nodes can be cut off, killed and started again.
+
+#include "mesh_sample_test.h"
+#include <functional>
+#include <queue>
+
+namespace limpet::mesh::testing_support {
+
+struct place {
+    std::string name;
+    std::string region;
+    std::string zone;
+    std::string service;
+};
+
+struct network_options {
+    duration sameRegionDelay = std::chrono::microseconds(500);
+    duration otherRegionDelay = std::chrono::milliseconds(30);
+    std::uint64_t seed = 1;
+};
+
+/// What became of a request.
+struct played_request {
+    std::string node;
+    time_point sent {};
+    time_point answered {};
+    int status = 0; ///< 0: no answer yet
+    std::string route;
+};
+
+class played_network {
+public:
+    struct member {
+        place where;
+        std::unique_ptr<mesh::node> subject;
+        socket_address address;
+        std::uint64_t run = 1;
+        bool up = true;
+        bool cut = false; ///< nothing reaches it and nothing leaves it
+        unsigned slots = 10;
+        duration work = std::chrono::milliseconds(100);
+        double rejects = 0; ///< part of the calls that its backend server refuses
+        unsigned running = 0;
+        unsigned peakRunning = 0;
+        std::uint64_t served = 0;
+        std::uint64_t rejected = 0;
+        std::uint64_t arrivals = 0;
+        std::uint64_t sequence = 0;
+        std::set<std::uint64_t> cancelled;
+    };
+
+    explicit played_network(network_options given = {})
+        : m_options(given)
+        , m_random(given.seed)
+    {
+    }
+
+    member& add(const place& where)
+    {
+        auto& each = m_members.emplace_back(std::make_unique<member>());
+        each->where = where;
+        each->address = { "10.0.0." + std::to_string(m_members.size()), 7000 };
+        startNode(*each);
+        return *each;
+    }
+
+    void configure(const configuration& config)
+    {
+        m_config = makeIndex(config);
+        for (auto& each : m_members)
+            give(*each, configuration_received { m_config, "document" });
+    }
+
+    /// Tells every node the addresses of all.
+    void introduceAll()
+    {
+        for (auto& each : m_members)
+            give(*each, listed());
+    }
+
+    void addBackends()
+    {
+        for (auto& each : m_members)
+            addBackend(*each);
+    }
+
+    void addBackend(member& each)
+    {
+        backend_report report;
+        report.id = "i-" + each.where.name;
+        report.born = 5;
+        report.sequence = ++each.sequence;
+        report.service = each.where.service;
+        report.slots = each.slots;
+        give(each, report);
+        give(each, backend_checked { report.id, true });
+    }
+
+    void kill(member& each)
+    {
+        each.up = false;
+        ++each.run;
+        for (auto& other : m_members) {
+            if (other.get() != &each)
+                later(m_options.sameRegionDelay, [this, &each, target = other.get()] {
+                    give(*target, link_closed { linkOf(each), {}, true });
+                    give(*target, link_closed { linkOf(each), each.address, true });
+                });
+        }
+    }
+
+    void restart(member& each)
+    {
+        startNode(each);
+        each.up = true;
+        if (m_config)
+            give(each, configuration_received { m_config, "document" });
+        give(each, listed());
+        addBackend(each);
+    }
+
+    std::size_t send(
+        member& at, const std::string& path, const std::string& key = "planners-key", const std::string& method = "GET")
+    {
+        const auto index = requests.size();
+        requests.push_back({ at.where.name, m_now, {}, 0, path });
+        if (!at.up)
+            return index;
+        client_request made;
+        made.call = index + 1;
+        made.requestId = "r" + std::to_string(index);
+        made.host = "shop.example";
+        made.content.method = method;
+        made.content.path = path;
+        if (!key.empty())
+            made.key = digestOf(key);
+        made.deadline = std::chrono::seconds(5);
+        give(at, std::move(made));
+        return index;
+    }
+
+    /// Sends requests at a mean rate with exponential gaps.
+    void load(member& at, const std::string& path, double perSecond, duration length,
+        const std::string& key = "planners-key", const std::string& method = "GET")
+    {
+        const auto mean = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / perSecond));
+        for (auto when = m_random.exponential(mean); when < length; when += m_random.exponential(mean))
+            later(when, [this, &at, path, key, method] { send(at, path, key, method); });
+    }
+
+    void later(duration wait, std::function<void()> what)
+    {
+        m_events.push({ m_now + wait, m_nextEvent++, std::move(what) });
+    }
+
+    void runFor(duration length)
+    {
+        const auto end = m_now + length;
+        while (true) {
+            auto next = end;
+            member* due = nullptr;
+            for (auto& each : m_members) {
+                if (each->up && each->subject->nextTimer() < next) {
+                    next = std::max(m_now, each->subject->nextTimer());
+                    due = each.get();
+                }
+            }
+            if (!m_events.empty() && m_events.top().at <= next) {
+                m_now = std::max(m_now, m_events.top().at);
+                const auto what = m_events.top().what;
+                m_events.pop();
+                what();
+                continue;
+            }
+            if (!due)
+                break;
+            m_now = next;
+            actions out;
+            due->subject->tick(m_now, out);
+            carryOut(*due, out);
+        }
+        m_now = end;
+    }
+
+    void give(member& to, event given)
+    {
+        if (!to.up)
+            return;
+        actions out;
+        to.subject->handle(std::move(given), m_now, out);
+        carryOut(to, out);
+    }
+
+    std::size_t countStatus(int status) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            requests.begin(), requests.end(), [status](const played_request& each) { return each.status == status; }));
+    }
+
+    time_point now() const { return m_now; }
+    std::vector<std::unique_ptr<member>>& members() { return m_members; }
+
+    std::vector<played_request> requests;
+    std::uint64_t statusesBetweenRegions = 0;
+    std::uint64_t statusBytesBetweenRegions = 0;
+
+private:
+    struct planned {
+        time_point at {};
+        std::uint64_t order = 0;
+        std::function<void()> what;
+        bool operator<(const planned& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    void startNode(member& each)
+    {
+        node_options options;
+        options.name = each.where.name;
+        options.run = each.run;
+        options.region = each.where.region;
+        options.availabilityZone = each.where.zone;
+        options.service = each.where.service;
+        options.address = each.address;
+        options.seed = m_options.seed + m_members.size();
+        each.subject = std::make_unique<mesh::node>(options);
+        each.running = 0;
+    }
+
+    nodes_listed listed() const
+    {
+        nodes_listed made;
+        for (const auto& each : m_members)
+            made.nodes.push_back(each->address);
+        return made;
+    }
+
+    member* at(const socket_address& address)
+    {
+        for (auto& each : m_members) {
+            if (each->address == address)
+                return each.get();
+        }
+        return nullptr;
+    }
+
+    /// The link that a node opened to any other has its number everywhere.
+    std::uint64_t linkOf(const member& each) const
+    {
+        for (std::size_t index = 0; index < m_members.size(); ++index) {
+            if (m_members[index].get() == &each)
+                return index + 1;
+        }
+        return 0;
+    }
+
+    duration delay(const member& from, const member& to) const
+    {
+        return from.where.region == to.where.region ? m_options.sameRegionDelay : m_options.otherRegionDelay;
+    }
+
+    void deliver(member& from, member& to, event given)
+    {
+        if (from.cut || to.cut)
+            return;
+        later(delay(from, to), [this, &to, given = std::move(given), run = to.run] {
+            if (!to.cut && to.run == run)
+                give(to, given);
+        });
+    }
+
+    void carryOut(member& from, actions& out)
+    {
+        for (auto& each : out) {
+            if (auto* answer = std::get_if<answer_client>(&each)) {
+                auto& request = requests.at(answer->call - 1);
+                request.status = answer->content.status;
+                request.answered = m_now;
+            } else if (auto* frame = std::get_if<send_frame>(&each)) {
+                if (auto* to = at(frame->peer))
+                    deliver(from, *to, frame_received { linkOf(from), {}, frame->bytes });
+            } else if (auto* reply = std::get_if<reply_frame>(&each)) {
+                auto& to = *m_members.at(reply->link - 1);
+                deliver(from, to, frame_received { linkOf(from), from.address, reply->bytes });
+            } else if (auto* status = std::get_if<send_status>(&each)) {
+                sendStatus(from, *status);
+            } else if (auto* run = std::get_if<run_on_backend>(&each)) {
+                runOnBackend(from, *run);
+            } else if (auto* cancel = std::get_if<cancel_on_backend>(&each)) {
+                from.cancelled.insert(cancel->attempt);
+            }
+        }
+    }
+
+    void sendStatus(member& from, const send_status& status)
+    {
+        auto* to = at(status.peer);
+        if (!to)
+            return;
+        if (to->where.region != from.where.region) {
+            ++statusesBetweenRegions;
+            statusBytesBetweenRegions += status.bytes.size();
+        }
+        deliver(from, *to, status_received { from.address, status.bytes });
+    }
+
+    void runOnBackend(member& at, const run_on_backend& run)
+    {
+        ++at.arrivals;
+        const bool rejects = m_random.unit() < at.rejects;
+        const auto wait = rejects ? std::chrono::milliseconds(1) : at.work;
+        if (!rejects)
+            at.peakRunning = std::max(at.peakRunning, ++at.running);
+        later(wait, [this, &at, rejects, attempt = run.attempt, started = at.run] {
+            if (at.run != started)
+                return;
+            if (!rejects && at.running > 0)
+                --at.running;
+            if (at.cancelled.erase(attempt) > 0)
+                return;
+            backend_result result { attempt, tl::unexpected(failure_kind::rejected) };
+            if (!rejects) {
+                result.outcome = okAnswer();
+                ++at.served;
+            } else
+                ++at.rejected;
+            give(at, std::move(result));
+        });
+    }
+
+    network_options m_options;
+    random_source m_random;
+    time_point m_now = testStart;
+    std::vector<std::unique_ptr<member>> m_members;
+    std::shared_ptr<const configuration_index> m_config;
+    std::priority_queue<planned> m_events;
+    std::uint64_t m_nextEvent = 0;
+};
+
+} // namespace limpet::mesh::testing_support
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -12,7 +12,7 @@
 
 node::state::state(node_options given)
     : options(std::move(given))
-    , rates(options.placement.fresh)
+    , rates(options.placement.farFresh)
     , retries(options.retryRatio * usedRetryPart, 1)
     , random(options.seed)
 {
@@ -79,11 +79,13 @@
     forgetSilent(now, out);
     pullConfiguration(now, out);
     spreadStatus(now, out);
+    spreadBundle(now, out);
+    introduce(now, out);
 }
 
 time_point node::state::nextTimer() const
 {
-    auto next = std::min(statusAt, farStatusAt);
+    auto next = std::min(statusAt, bundleAt);
     if (!deadlines.empty())
         next = std::min(next, deadlines.begin()->first);
     if (const auto gateTimer = gate.nextTimer())
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -10,6 +10,9 @@
     constexpr double crowdedWeight = 0.6;
     // A part of failed answers costs that multiple of the latency: a call that fails is lost work.
     constexpr double failureWeight = 6;
+    // A queue of that many times the limit is about to refuse calls. An endpoint with room is better at any distance.
+    constexpr double longQueue = 0.8;
+    constexpr duration longQueuePenalty = std::chrono::seconds(1);
     // Extra work of a backend server after its start.
     constexpr double coldWeight = 1;
 
@@ -30,6 +33,8 @@
     if (candidate.coldUntil > now)
         multiple += coldWeight;
     auto cost = duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * multiple));
+    if (busy > 1 + longQueue)
+        cost += longQueuePenalty;
     if (candidate.region != region)
         cost += options.otherRegionPenalty;
     else if (candidate.availabilityZone != zone)
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limpetcroft/mesh.h>
 
 namespace limpet::mesh {
@@ -26,7 +27,9 @@
 
 void registry::tick(time_point now, outcome& out)
 {
-    const auto due = [&](step which) { return of(which).token == 0 && of(which).at <= now; };
+    // While the store is out of reach, one call at a time looks for it: every call is paid for, also a refused one.
+    const auto due
+        = [&](step which) { return of(which).token == 0 && of(which).at <= now && (m_reached || !calling()); };
     if (due(step::configuration))
         start(step::configuration, store_get { m_options.configurationKey }, out);
     if (m_left)
@@ -46,6 +49,11 @@
         start(step::list, store_get { m_options.entryPrefix, true, m_listed }, out);
 }
 
+bool registry::calling() const
+{
+    return std::any_of(m_tasks.begin(), m_tasks.end(), [](const task& each) { return each.token != 0; });
+}
+
 void registry::handle(const store_result& result, time_point now, outcome& out)
 {
     for (std::size_t index = 0; index < m_tasks.size(); ++index) {
@@ -56,6 +64,10 @@
         const bool reached = result.reply.has_value() || result.reply.error().kind == error_kind::notFound;
         if (reached != m_reached) {
             m_reached = reached;
+            for (auto& task : m_tasks) {
+                if (reached && task.at != never)
+                    task.at = std::min(task.at, now);
+            }
             out.log.push_back({ reached ? "store_regained" : "store_lost",
                 { { "call", stepNames[index] }, { "reason", result.reply ? "" : result.reply.error().message } } });
         }
@@ -123,6 +135,13 @@
         return;
     }
     of(which).at = now + m_options.retryInterval;
+    // The next try is one call, not one of each task.
+    if (m_reached)
+        return;
+    for (auto& task : m_tasks) {
+        if (task.token == 0 && task.at != never)
+            task.at = std::max(task.at, of(which).at);
+    }
 }
 
 void registry::changed(const std::string& document, outcome& out) { out.document = document; }
@@ -145,6 +164,9 @@
     // After a planned leave nothing is renewed or listed; a configuration may still be read.
     if (m_left)
         return of(step::configuration).token == 0 ? of(step::configuration).at : never;
+    // A due task waits for the call that looks for the store.
+    if (!m_reached && calling())
+        return never;
     auto next = never;
     for (const auto& each : m_tasks) {
         if (each.token == 0)
--- a/src/libmesh/spread.cpp
+++ b/src/libmesh/spread.cpp
@@ -6,6 +6,8 @@
 namespace limpet::mesh {
 namespace {
 
+    // Between two bundles, also when there is news.
+    constexpr duration leastBundleGap = std::chrono::milliseconds(250);
     // A node usually reads a new version from the store itself; only when that fails does it ask another node.
     constexpr duration pullAfter = std::chrono::milliseconds(400);
 
@@ -93,31 +95,70 @@
         status.teams.push_back(std::move(row));
     }
     status.introduce = introduce;
+    status.ip = options.address.ip;
+    status.port = options.address.port;
+    status.news = statusDue;
     return encodeStatus(status);
 }
 
+bool node::state::fresh(const endpoint& peer, time_point now) const
+{
+    const auto bound = peer.region == options.region ? options.placement.fresh : options.placement.farFresh;
+    return now - peer.heard <= bound;
+}
+
 void node::state::receiveStatus(const status_received& received, time_point now, actions& out)
 {
-    auto parsed = parseStatus(received.bytes);
+    if (isBundle(received.bytes)) {
+        receiveBundle(received, now, out);
+        return;
+    }
+    const auto parsed = parseStatus(received.bytes);
     if (!parsed) {
         log(out, "status_ignored", { { "reason", parsed.error().message } });
         return;
     }
-    if (parsed->node == options.name || parsed->node.empty())
-        return;
-    learnPeer(*parsed, received.peer, now, out);
+    learnPeer(*parsed, received.bytes, now, out);
     if (parsed->introduce)
         out.emplace_back(send_status { received.peer, ownStatus(false, now) });
 }
 
-void node::state::learnPeer(
-    const wire::status_data& status, const socket_address& address, time_point now, actions& out)
+/// Takes the statuses of another region. The relay that got them over the link between the regions passes them on to
+/// its own region.
+void node::state::receiveBundle(const status_received& received, time_point now, actions& out)
+{
+    auto parsed = parseBundle(received.bytes);
+    if (!parsed) {
+        log(out, "status_ignored", { { "reason", parsed.error().message } });
+        return;
+    }
+    for (const auto& each : parsed->statuses) {
+        const auto status = parseStatus(each->bytes);
+        if (status)
+            learnPeer(*status, each->bytes, now, out);
+        else
+            log(out, "status_ignored", { { "reason", status.error().message } });
+    }
+    if (parsed->forwarded)
+        return;
+    parsed->forwarded = true;
+    const auto bytes = encodeBundle(*parsed);
+    for (const auto& [name, peer] : peers) {
+        if (peer.region == options.region)
+            out.emplace_back(send_status { peer.address, bytes });
+    }
+}
+
+void node::state::learnPeer(const wire::status_data& status, const std::string& bytes, time_point now, actions& out)
 {
+    if (status.node == options.name || status.node.empty())
+        return;
+    const socket_address address { status.ip, status.port };
     auto& peer = peers[status.node];
     if (status.run < peer.run || (status.run == peer.run && status.sequence <= peer.sequence))
         return;
-    const bool fresh = peer.run != status.run;
-    if (fresh) {
+    const bool restarted = peer.run != status.run;
+    if (restarted) {
         log(out, "peer_joined",
             { { "peer", status.node }, { "run", std::to_string(status.run) }, { "before", std::to_string(peer.run) },
                 { "service", status.service }, { "zone", status.availability_zone } });
@@ -142,10 +183,14 @@
     if (status.load)
         peer.load = unpackLoad(*status.load);
     peer.sentSince = 0;
-    if (peer.heard != time_point {} && now - peer.heard > options.placement.fresh)
+    if (peer.heard != time_point {} && !fresh(peer, now))
         log(out, "peer_regained", { { "peer", status.node }, { "silent_ms", milliseconds(now - peer.heard) } });
     peer.heard = now;
-    if (fresh || before != peer.state || peer.leaving != status.leaving)
+    peer.statement = bytes;
+    // News from this region reaches the others without waiting for the usual time.
+    if (status.news && peer.region == options.region)
+        bundleAt = std::min(bundleAt, std::max(now, lastBundle + leastBundleGap));
+    if (restarted || before != peer.state || peer.leaving != status.leaving)
         log(out, "peer_state",
             { { "peer", status.node }, { "state", std::to_string(status.state) }, { "backend", status.endpoint },
                 { "leaving", status.leaving ? "1" : "0" }, { "sequence", std::to_string(status.sequence) } });
@@ -163,28 +208,82 @@
     }
 }
 
+/// The nodes that carry news between a region and the others: the first ones by name that are heard from. Two of them,
+/// so that the loss of one delays the news only.
+std::vector<std::string> node::state::relaysOf(const std::string& region, time_point now) const
+{
+    constexpr std::size_t relays = 2;
+    std::vector<std::string> names;
+    if (region == options.region && !self.leaving)
+        names.push_back(options.name);
+    for (const auto& [name, peer] : peers) {
+        if (peer.region == region && !peer.leaving && fresh(peer, now))
+            names.push_back(name);
+    }
+    std::sort(names.begin(), names.end());
+    if (names.size() > relays)
+        names.resize(relays);
+    return names;
+}
+
 void node::state::spreadStatus(time_point now, actions& out)
 {
     const bool urgent = statusDue && now - lastStatus >= leastStatusGap;
-    const bool near = urgent || now >= statusAt;
-    const bool far = urgent || now >= farStatusAt;
-    if (near || far) {
-        std::string bytes;
-        for (const auto& [name, peer] : peers) {
-            const bool sameRegion = peer.region == options.region;
-            if (sameRegion ? !near : !far)
-                continue;
-            if (bytes.empty())
-                bytes = ownStatus(false, now);
+    if (!urgent && now < statusAt)
+        return;
+    const auto bytes = ownStatus(false, now);
+    for (const auto& [name, peer] : peers) {
+        if (peer.region == options.region)
             out.emplace_back(send_status { peer.address, bytes });
-        }
-        statusDue = false;
-        lastStatus = now;
-        if (near)
-            statusAt = now + options.statusInterval;
-        if (far)
-            farStatusAt = now + options.farStatusInterval;
     }
+    self.statement = bytes;
+    if (urgent)
+        bundleAt = std::min(bundleAt, std::max(now, lastBundle + leastBundleGap));
+    statusDue = false;
+    lastStatus = now;
+    statusAt = now + options.statusInterval;
+}
+
+/// A relay sends the statuses of its region to one relay of each other region. The second relay of a region sends to
+/// the second relay there, half an interval later.
+void node::state::spreadBundle(time_point now, actions& out)
+{
+    if (now < bundleAt)
+        return;
+    bundleAt = now + options.bundleInterval;
+    const auto own = relaysOf(options.region, now);
+    const auto place = std::find(own.begin(), own.end(), options.name);
+    if (place == own.end())
+        return;
+    lastBundle = now;
+    std::set<std::string> regions;
+    wire::bundle_data bundle;
+    const auto add = [&](const std::string& statement) {
+        if (statement.empty())
+            return;
+        auto row = std::make_unique<wire::bundled_status_data>();
+        row->bytes = statement;
+        bundle.statuses.push_back(std::move(row));
+    };
+    add(self.statement);
+    for (const auto& [name, peer] : peers) {
+        if (peer.region != options.region)
+            regions.insert(peer.region);
+        else if (fresh(peer, now))
+            add(peer.statement);
+    }
+    const auto bytes = encodeBundle(bundle);
+    const auto index = static_cast<std::size_t>(place - own.begin());
+    for (const auto& region : regions) {
+        const auto there = relaysOf(region, now);
+        if (!there.empty())
+            out.emplace_back(send_status { peers.at(there[std::min(index, there.size() - 1)]).address, bytes });
+    }
+}
+
+/// Asks nodes that are known by address only, and those of other regions that are not heard from, for their status.
+void node::state::introduce(time_point now, actions& out)
+{
     for (auto each = unmet.begin(); each != unmet.end();) {
         if (now - each->second.since > introduceFor) {
             each = unmet.erase(each);
@@ -204,7 +303,7 @@
         if (address == options.address || unmet.contains(address))
             continue;
         const auto* peer = peerByAddress(address);
-        if (!peer || now - peer->heard > options.placement.fresh)
+        if (!peer || !fresh(*peer, now))
             unmet.emplace(address, unmet_node { now, {} });
     }
 }
@@ -232,7 +331,7 @@
         return;
     pullAt = now + pullAfter;
     for (const auto& [name, peer] : peers) {
-        if (peer.configuration <= held || now - peer.heard > options.placement.fresh)
+        if (peer.configuration <= held || !fresh(peer, now))
             continue;
         wire::frame_data frame;
         frame.configuration_pull = std::make_unique<wire::configuration_request_data>();
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -149,7 +149,8 @@
     std::map<socket_address, std::string> peerAt;
     std::map<socket_address, unmet_node> unmet;
     time_point statusAt {}; ///< of the next status to the nodes of the region
-    time_point farStatusAt {};
+    time_point bundleAt {}; ///< of the next bundle to other regions, if this node is a relay
+    time_point lastBundle {};
     bool statusDue = false; ///< a change that others should know at once
     time_point lastStatus {};
     std::uint64_t statusSequence = 0;
@@ -158,8 +159,13 @@
 
     void receiveFrame(frame_received received, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
-    void learnPeer(const wire::status_data& status, const socket_address& address, time_point now, actions& out);
+    void receiveBundle(const status_received& received, time_point now, actions& out);
+    void learnPeer(const wire::status_data& status, const std::string& bytes, time_point now, actions& out);
     void spreadStatus(time_point now, actions& out);
+    void spreadBundle(time_point now, actions& out);
+    void introduce(time_point now, actions& out);
+    bool fresh(const endpoint& peer, time_point now) const;
+    std::vector<std::string> relaysOf(const std::string& region, time_point now) const;
     std::string ownStatus(bool introduce, time_point now);
     void pullConfiguration(time_point now, actions& out);
     void useConfiguration(configuration_received received, time_point now, actions& out);
