Refuse for a rate only when the one bucket is empty

Cause: copies of a team's bucket drifted below the truth. At its cap a copy gave up refill that was already taken by admissions which were reported a moment later, and the guard for unreported admissions was a fixed third of the burst.

Change: what other nodes are expected to have admitted since their last report is subtracted when deciding, and a full copy may hold that much above the burst. The log line of a refusal names rate, level, share, demand and age of reports.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -102,7 +102,8 @@
 /// so a lost report costs nothing but time.
 class rate_sharing {
 public:
-    explicit rate_sharing(duration silence = std::chrono::milliseconds(1500));
+    /// silence: a node that is not heard from for so long is expected to admit its share.
+    explicit rate_sharing(duration silence);
     void configure(const std::vector<team>& teams, time_point now);
     /// Counts a request of the team and returns whether it is admitted.
     bool admit(const std::string& team, time_point now);
@@ -110,6 +111,8 @@
     void giveBack(const std::string& team);
     /// When a refused request of the team may be admitted.
     duration retryAfter(const std::string& team, time_point now);
+    /// What the last decision about the team was based on, for the log.
+    std::vector<std::pair<std::string, std::string>> inputs(const std::string& team, time_point now) const;
     /// Takes the report of another node. A new run of the node starts from zero.
     void learn(const std::string& node, std::uint64_t run, const std::vector<team_report>& reports, time_point now);
     /// The node is gone for good.
@@ -130,7 +133,9 @@
         double rate = 0;
         double burst = 0;
         double level = 0; ///< of the copy of the one bucket; negative: debt
-        double own = 0; ///< share of this node
+        double own = 0; ///< saved from this node's share of the rate
+        double allDemand = 0; ///< of all nodes, requests per second
+        double unseen = 0; ///< expected admissions of other nodes since their reports
         time_point refilled {};
         std::uint64_t admitted = 0;
         std::uint64_t reported = 0;
--- a/src/libmesh/entry.cpp
+++ b/src/libmesh/entry.cpp
@@ -135,6 +135,9 @@
         return;
     }
     if (owner && !rates.admit(kept.team, now)) {
+        auto fields = rates.inputs(kept.team, now);
+        fields.insert(fields.begin(), { { "id", kept.request.requestId }, { "team", kept.team } });
+        log(out, "rate_exceeded", std::move(fields));
         answerOwn(kept, refusal_reason::rateExceeded, rates.retryAfter(kept.team, now), now, out);
         return;
     }
--- a/src/libmesh/rates.cpp
+++ b/src/libmesh/rates.cpp
@@ -2,22 +2,24 @@
 #include <cmath>
 #include <limpetcroft/mesh.h>
 
-// Why the window bound holds. Over a window of length t with true level of the one bucket L <= burst, the admissions of
-// all nodes are at most burst + rate * t, plus what the nodes admit before they hear of each other. That excess is at
-// most the demand of one report interval, and it is paid back: while a copy of the bucket is in debt its node admits
-// nothing.
+// Why the window bound holds. The shares of all nodes together save at most the burst and earn at most the rate, and free
+// admission uses them up too: burst + rate * t over a window of length t. What nodes admit freely before they hear of each other is on top of that. It is at most the demand of one report
+// interval, and it is paid back: with a copy of the bucket too far in debt its node admits nothing.
 
 namespace limpet::mesh {
 namespace {
 
-    // Part of the burst that is kept back from free admission, for admissions elsewhere that are not reported yet.
-    constexpr double guardPart = 0.35;
+    // Part of the burst that is kept back from free admission, besides what other nodes are expected to have admitted since
+    // their last report.
+    constexpr double guardPart = 0.1;
     // Demand that every node is taken to have, in requests per second, so that a node without recent demand of a team
     // holds a small share.
     constexpr double floorDemand = 0.2;
-    // Longest saving of a node's own share.
-    constexpr std::chrono::duration<double> shareSaving { 0.25 };
+    // Part of the burst that a copy of the bucket may be in debt before its node stops. Reports arrive in lumps.
+    constexpr double debtPart = 0.25;
     constexpr std::chrono::duration<double> demandWindow { 1.0 };
+    constexpr double surgeFactor = 1.5;
+    constexpr double surgeLeast = 4;
     // A bucket holds at least what the rate gives in this time: with less, two requests at once would exceed it.
     constexpr std::chrono::duration<double> leastBurst { 0.2 };
     // Admissions since the last report, as a part of the rate, that are reported before the usual time.
@@ -46,7 +48,9 @@
         count = 0;
         since = now;
     }
-    return std::max(perSecond, count / demandWindow.count());
+    // A surge shows before the window ends; the usual variation does not count as one.
+    const double counted = count / demandWindow.count();
+    return counted > surgeFactor * perSecond + surgeLeast ? counted : perSecond;
 }
 
 rate_sharing::rate_sharing(duration silence)
@@ -97,18 +101,28 @@
     each.refilled = now;
     // A node that is not heard from goes on admitting up to its share.
     double unheard = 0;
+    each.unseen = 0;
     double demand = each.demand.read(now) + floorDemand;
     for (const auto& [name, other] : m_peers) {
         const auto found = other.teams.find(team);
         const double theirs = floorDemand + (found == other.teams.end() ? 0 : found->second.demand);
         demand += theirs;
-        if (now - other.heard > m_silence)
+        const auto silent = now - other.heard;
+        if (silent > m_silence)
             unheard += theirs;
+        else if (found != other.teams.end())
+            each.unseen += found->second.demand * seconds(silent);
     }
     const double part = 1 - unheard / demand;
-    each.level = std::min(each.burst, each.level + each.rate * part * elapsed);
-    const double ownRate = each.rate * share(team, each, now);
-    each.own = std::min(std::max(1.0, ownRate * shareSaving.count()), each.own + ownRate * elapsed);
+    each.level += each.rate * part * elapsed;
+    each.allDemand = demand;
+    const double ownPart = (each.demand.read(now) + floorDemand) / demand;
+    // With more demand than the rate, the others admit no more than their shares either.
+    each.unseen *= std::min(1.0, each.rate / demand);
+    // What others have taken but not reported is still in this copy, so that a full bucket shows as more than its size.
+    each.level = std::min(each.burst + each.unseen, each.level);
+    const double saving = std::max(1.0, each.burst * ownPart);
+    each.own = std::min(saving, each.own + each.rate * ownPart * elapsed);
 }
 
 bool rate_sharing::admit(const std::string& team, time_point now)
@@ -120,12 +134,11 @@
     refill(team, each, now);
     each.demand.add(now);
     each.lastRequest = now;
-    const bool free = each.level - 1 >= guardPart * each.burst;
-    const bool byShare = each.level > 0 && each.own >= 1;
+    const bool byShare = each.level > -debtPart * each.burst && each.own >= 1;
+    const bool free = each.level - each.unseen - 1 >= guardPart * each.burst;
     if (!free && !byShare)
         return false;
-    if (!free)
-        each.own -= 1;
+    each.own = std::max(0.0, each.own - 1);
     each.level -= 1;
     each.admitted += 1;
     const auto unreported = static_cast<double>(each.admitted - each.reported);
@@ -156,6 +169,21 @@
     return std::min(duration(std::llround(wait * 1e6)), longestRetryAfter);
 }
 
+std::vector<std::pair<std::string, std::string>> rate_sharing::inputs(const std::string& team, time_point now) const
+{
+    const auto found = m_buckets.find(team);
+    if (found == m_buckets.end())
+        return {};
+    const auto& each = found->second;
+    duration oldest { 0 };
+    for (const auto& [name, other] : m_peers)
+        oldest = std::max(oldest, now - other.heard);
+    const auto text = [](double value) { return std::to_string(std::llround(value * 100) / 100.0).substr(0, 7); };
+    return { { "rate", text(each.rate) }, { "burst", text(each.burst) }, { "level", text(each.level) },
+        { "share_saved", text(each.own) }, { "all_demand", text(each.allDemand) }, { "unseen", text(each.unseen) },
+        { "oldest_report_ms", std::to_string(oldest.count() / 1000) } };
+}
+
 void rate_sharing::learn(
     const std::string& node, std::uint64_t run, const std::vector<team_report>& reports, time_point now)
 {
