Let calls leave a full zone earlier, halve the interval of news between regions

Cause: tanker schedules waited up to their objective at full backend servers while another zone had room. The cost of a queue was counted in mean latencies, which the many short calls of that service keep low, and important calls pass ordinary ones in the queue.

Change: load beyond 0.85 of the limit costs 400 ms for each further multiple. Bundles cross every 500 ms, which halves what a rate decision has to assume about the other region. Up to 400 lines a second of one log event, since 100 dropped request lines at ordinary load.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -305,7 +305,7 @@
     duration drainTime = std::chrono::milliseconds(2500); ///< after the acknowledgement, until the last send
     duration drainMargin = std::chrono::milliseconds(600);
     duration statusInterval = std::chrono::milliseconds(500);
-    duration bundleInterval = std::chrono::milliseconds(1000); ///< between regions, of each relay
+    duration bundleInterval = std::chrono::milliseconds(500); ///< between regions, of each relay
     duration forgetAfter = std::chrono::seconds(30);
     duration checkInterval = std::chrono::milliseconds(500); ///< between two checks of an unknown backend server
     /// A backend server that goes on stating that it is ready for so long after its first statement is believed without
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -82,8 +82,8 @@
 // ---- Structured log ----
 
 struct log_limits {
-    double linesPerSecond = 100; ///< of each event
-    double burst = 300;
+    double linesPerSecond = 400; ///< of each event
+    double burst = 800;
     std::size_t maxBufferedBytes = 256 * 1024;
 };
 
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -8,6 +8,10 @@
     // Weight of load between freePart and the limit, in multiples of the latency: it spreads calls before a queue
     // forms.
     constexpr double crowdedWeight = 0.6;
+    // Part of the limit from which calls move to other availability zones, and the cost of each further multiple of the
+    // limit. The mean latency says little of the wait there: important calls pass the others in the queue.
+    constexpr double fullPart = 0.85;
+    constexpr duration fullPenalty = std::chrono::milliseconds(400);
     // A part of failed answers costs that multiple of the latency: a call that fails is lost work.
     constexpr double failureWeight = 6;
     // A queue of that many times the limit is about to refuse calls. An endpoint with room is better at any distance.
@@ -33,6 +37,8 @@
     if (candidate.coldUntil > now)
         multiple += coldWeight;
     auto cost = duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * multiple));
+    if (busy > fullPart)
+        cost += duration(static_cast<std::int64_t>(static_cast<double>(fullPenalty.count()) * (busy - fullPart)));
     if (busy > 1 + longQueue)
         cost += longQueuePenalty;
     if (candidate.region != region)
--- a/src/libmesh/rates.cpp
+++ b/src/libmesh/rates.cpp
@@ -2,15 +2,16 @@
 #include <cmath>
 #include <limpetcroft/mesh.h>
 
-// Why the window bound holds. The shares of all nodes together save at most the burst and earn at most the rate, and free
-// admission uses them up too: burst + rate * t over a window of length t. What nodes admit freely before they hear of each other is on top of that. It is at most the demand of one report
-// interval, and it is paid back: with a copy of the bucket too far in debt its node admits nothing.
+// Why the window bound holds. The shares of all nodes together save at most the burst and earn at most the rate, and
+// free admission uses them up too: burst + rate * t over a window of length t. What nodes admit freely before they hear
+// of each other is on top of that. It is at most the demand of one report interval, and it is paid back: with a copy of
+// the bucket too far in debt its node admits nothing.
 
 namespace limpet::mesh {
 namespace {
 
-    // Part of the burst that is kept back from free admission, besides what other nodes are expected to have admitted since
-    // their last report.
+    // Part of the burst that is kept back from free admission, besides what other nodes are expected to have admitted
+    // since their last report.
     constexpr double guardPart = 0.1;
     // Demand that every node is taken to have, in requests per second, so that a node without recent demand of a team
     // holds a small share.
