Refuse what a stopping node could not finish

Ruled out: ending later, since the process is killed at 6 s whatever runs.

Change: from 2.8 s after the start of a planned stop new requests are refused as draining, which says that they did not run; calls of other nodes likewise. A stopping node prefers other nodes for its own requests.

Test leaving.takesNoRequestThatItCannotFinish failed before.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -304,6 +304,8 @@
     std::uint64_t seed = 1;
     duration drainTime = std::chrono::milliseconds(2500); ///< after the acknowledgement, until the last send
     duration drainMargin = std::chrono::milliseconds(600);
+    /// A stopping node takes requests for this long; later ones could not be finished before its end.
+    duration takeWhileLeaving = std::chrono::milliseconds(2800);
     duration statusInterval = std::chrono::milliseconds(500);
     duration bundleInterval = std::chrono::milliseconds(500); ///< between regions, of each relay
     duration forgetAfter = std::chrono::seconds(30);
--- a/src/libmesh/entry.cpp
+++ b/src/libmesh/entry.cpp
@@ -89,7 +89,7 @@
     auto places = options.placement;
     places.defaultLatency = expectedLatency(call.service);
     const auto consider = [&](endpoint& candidate) {
-        if (candidate.service != call.service || candidate.state != endpoint_state::ready || candidate.leaving)
+        if (candidate.service != call.service || candidate.state != endpoint_state::ready)
             return;
         if (call.tried.contains(candidate.node) || candidate.avoidUntil > now)
             return;
@@ -101,11 +101,15 @@
         best = &candidate;
         bestCost = cost;
     };
-    consider(self);
+    if (!self.leaving)
+        consider(self);
     for (auto& [name, peer] : peers) {
-        if (fresh(peer, now))
+        if (!peer.leaving && fresh(peer, now))
             consider(peer);
     }
+    // A stopping node uses its own backend server only when there is no other.
+    if (!best)
+        consider(self);
     return best;
 }
 
@@ -121,6 +125,10 @@
         answerOwn(kept, refusal_reason::notReady, shortRetryAfter, now, out);
         return;
     }
+    if (!takesRequests(now)) {
+        answerOwn(kept, refusal_reason::draining, shortRetryAfter, now, out);
+        return;
+    }
     kept.rule = config->findRoute(kept.request.host, kept.request.content.path);
     if (!kept.rule) {
         answerOwn(kept, refusal_reason::unknownRoute, duration(0), now, out);
--- a/src/libmesh/mesh_backend_test.cpp
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -150,6 +150,24 @@
     EXPECT_TRUE(driven.take<run_on_backend>().empty());
 }
 
+// The own day restart-while-leaving, seed 895020797624, broke LOST: a stopping node took requests up to its end and cut
+// them.
+TEST(leaving, takesNoRequestThatItCannotFinish)
+{
+    driven_node driven;
+    driven.configure();
+    driven.addBackend();
+    driven.handle(leave_request {});
+    driven.advance(1000ms);
+    driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 1U);
+    driven.advance(2000ms);
+    driven.take<answer_client>();
+    const auto late = driven.request();
+    EXPECT_TRUE(driven.take<run_on_backend>().empty());
+    EXPECT_EQ(driven.statusOf(late), 503);
+}
+
 // The own day restart-while-leaving ended processes: calls beyond the limit that became known were queued although they
 // ran, and were started a second time.
 TEST(backend, callsBeyondTheNewLimitAreNotStartedAgain)
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -62,6 +62,7 @@
         void operator()(const leave_request& /*each*/) const
         {
             own.self.leaving = true;
+            own.leavingSince = std::min(own.leavingSince, now);
             own.statusDue = true;
         }
     };
@@ -101,6 +102,11 @@
     return next;
 }
 
+bool node::state::takesRequests(time_point now) const
+{
+    return leavingSince == time_point::max() || now - leavingSince <= options.takeWhileLeaving;
+}
+
 node::node(node_options options)
     : m_state(std::make_unique<state>(std::move(options)))
 {
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -57,7 +57,7 @@
 void node::state::serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out)
 {
     const serving_key key { link, call.id };
-    if (!mayServe(now) || call.service != self.service) {
+    if (!mayServe(now) || !takesRequests(now) || call.service != self.service) {
         log(out, "call_refused",
             { { "id", call.request_id }, { "reason", "no-backend-server" }, { "wanted", call.service },
                 { "backend", backend.id }, { "reachable", backend.reachable ? "1" : "0" },
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -148,6 +148,8 @@
 
     // ---- Other nodes (spread.cpp) ----
     endpoint self;
+    time_point leavingSince = time_point::max(); ///< a planned stop has begun
+    bool takesRequests(time_point now) const;
     std::map<std::string, endpoint> peers; ///< by node
     std::map<socket_address, std::string> peerAt;
     std::map<socket_address, unmet_node> unmet;
