--- a/src/libmesh/mesh_backend_test.cpp
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -122,6 +122,18 @@
         EXPECT_EQ(each.content.status, 503);
 }
 
+// Incident inc-043a: all nodes were killed. Until the next heartbeat they took their backend servers for small ones and
+// refused requests that these had room for.
+TEST(backend, unknownSizeIsNotTakenForASmallOne)
+{
+    driven_node driven;
+    driven.configure();
+    driven.handle(backend_checked { "i-1", true });
+    for (int count = 0; count < 40; ++count)
+        driven.request();
+    EXPECT_EQ(driven.take<run_on_backend>().size(), 40U);
+}
+
 // Slots become known with the first heartbeat; what runs already counts against them.
 TEST(backend, slotsThatBecomeKnownLaterCountWhatRuns)
 {
@@ -138,4 +150,31 @@
     EXPECT_TRUE(driven.take<run_on_backend>().empty());
 }
 
+// The own day restart-while-leaving ended processes: calls beyond the limit that became known were queued although they
+// ran, and were started a second time.
+TEST(backend, callsBeyondTheNewLimitAreNotStartedAgain)
+{
+    driven_node driven;
+    auto config = sampleConfiguration();
+    for (auto& each : config.routes)
+        each.timeout = each.target = 60s;
+    driven.configure(config);
+    driven.handle(backend_checked { "i-1", true });
+    for (int count = 0; count < 60; ++count)
+        driven.request();
+    auto runs = driven.take<run_on_backend>();
+    auto first = report("i-1", 5, 9);
+    first.slots = 10;
+    driven.handle(first);
+    std::map<std::uint64_t, int> starts;
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+        ++starts[runs[index].attempt];
+        driven.handle(backend_result { runs[index].attempt, okAnswer() });
+        for (auto& each : driven.take<run_on_backend>())
+            runs.push_back(std::move(each));
+    }
+    EXPECT_EQ(starts.size(), runs.size());
+    EXPECT_EQ(driven.subject.statistics().callsInFlight, 0U);
+}
+
 } // namespace
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -10,8 +10,9 @@
     // Weight of one call in the recent latency and in the recent part of failures.
     constexpr double latencyWeight = 0.1;
     constexpr double failureWeight = 0.05;
-    // Slots of a backend server that did not state any.
-    constexpr unsigned defaultSlots = 16;
+    // Slots of a backend server that has not stated any yet, which lasts at most one heartbeat after a restart of the
+    // node. A smaller one turns the excess away itself and says that it did not run it.
+    constexpr unsigned defaultSlots = 48;
     constexpr int firstServerError = 500;
 
     request_id gateId(std::uint64_t serving) { return { 0, serving }; }
@@ -24,6 +25,16 @@
         return admission(options);
     }
 
+    admission_request gateRequest(std::uint64_t serial, const serving_call& call, duration useful)
+    {
+        admission_request request;
+        request.id = gateId(serial);
+        request.context.team = call.content.team;
+        request.context.importance = call.content.importance;
+        request.context.remaining = useful;
+        return request;
+    }
+
 } // namespace
 
 /// From now on new calls are refused.
@@ -58,17 +69,20 @@
     serving_call kept;
     kept.link = link;
     kept.id = call.id;
+    kept.arrived = now;
     kept.deadline = now + duration(call.remaining_us);
     kept.content = std::move(call);
-    admission_request request;
-    request.id = gateId(serial);
-    request.context.team = kept.content.team;
-    request.context.importance = kept.content.importance;
-    request.context.remaining = duration(std::min(kept.content.queue_us, kept.content.remaining_us));
-    const auto requestId = kept.content.request_id;
     serving.emplace(serial, std::move(kept));
     servingOf[key] = serial;
-    auto decision = gate.offer(request, now);
+    offer(serial, now, out);
+}
+
+/// Lets admission decide about a call that has not started.
+void node::state::offer(std::uint64_t serial, time_point now, actions& out)
+{
+    const auto& call = serving.at(serial);
+    const auto useful = duration(std::min(call.content.queue_us, call.content.remaining_us));
+    auto decision = gate.offer(gateRequest(serial, call, useful - (now - call.arrived)), now);
     if (decision.verdict == admission_verdict::run)
         startServing(serial, now, out);
     if (decision.verdict == admission_verdict::refused)
@@ -351,19 +365,21 @@
         leaveBackend(now, out);
 }
 
-/// The backend server stated how many slots it has after it got work. What it runs counts against the new limit.
+/// The backend server stated how many slots it has after it got work. What it runs counts against the new limit; calls
+/// that run beyond it are not counted, since they must not wait for a place.
 void node::state::resizeGate(unsigned slots, time_point now, actions& out)
 {
-    stopServing(refusal_reason::noBackendServer, now, out);
     gate = makeGate(slots, options.slotPart);
-    for (auto& [serial, call] : serving) {
-        admission_request request;
-        request.id = gateId(serial);
-        request.context.team = call.content.team;
-        request.context.importance = call.content.importance;
-        request.context.remaining = std::max(call.deadline - now, duration(1));
-        gate.offer(request, now);
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [serial, call] : serving) {
+        if (!call.started)
+            waiting.push_back(serial);
+        else if (call.generation == backend.generation && gate.inFlight() < gate.limit())
+            gate.offer(gateRequest(serial, call, std::max(call.deadline - now, duration(1))), now);
     }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto serial : waiting)
+        offer(serial, now, out);
 }
 
 void node::state::leaveBackend(time_point now, actions& out)
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -41,6 +41,7 @@
     std::uint64_t link = ownLink;
     std::uint64_t id = 0; ///< of the calling node
     wire::call_request_data content;
+    time_point arrived {};
     time_point deadline {};
     time_point startedAt {};
     bool started = false;
@@ -122,6 +123,7 @@
     double failures = 0; ///< recent part of failed calls
 
     void serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out);
+    void offer(std::uint64_t serving, time_point now, actions& out);
     void unserve(const serving_key& key, time_point now, actions& out);
     void unserveLink(std::uint64_t link, time_point now, actions& out);
     void backendEnded(backend_result result, time_point now, actions& out);
