Read what another writer left in the store without losing the rest

One odd item made a whole list or watch malformed, and the same list was read again every 0.4 s: the node stopped following its peers.

--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -300,7 +300,8 @@
 
 struct store_get_reply {
     std::vector<store_entry> entries; ///< in key order
-    store_revision head = 0; ///< latest revision of the store
+    store_revision head = 0; ///< latest revision of the store when the first entries were read
+    std::vector<std::string> ignored; ///< why entries that could not be read were left out
 };
 struct store_txn_reply {
     bool succeeded = false;
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -120,9 +120,13 @@
         taskFor(task_kind::lease).at = now;
         break;
     case task_kind::list: {
+        const auto& got = std::get<store_get_reply>(reply);
         std::vector<std::string> values;
-        for (const auto& each : std::get<store_get_reply>(reply).entries)
+        for (const auto& each : got.entries)
             values.push_back(each.value);
+        if (!got.ignored.empty())
+            out.log.push_back({ "entries_ignored",
+                { { "count", std::to_string(got.ignored.size()) }, { "reason", got.ignored.front() } } });
         out.entries = std::move(values);
         m_listed = true;
         taskFor(task_kind::list).at = now + m_options.listInterval;
