--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -161,6 +161,16 @@
     double usualFailureRate = 0; ///< of the service; failures that all endpoints share give no reason to avoid one
 };
 
+/// Options that may change while the node runs.
+struct node_tuning {
+    duration drainTime
+        = std::chrono::milliseconds(2500); ///< from the drain acknowledgement until the last call may be sent
+    double retryRatio = 0.2; ///< bound on the retries to a service, as a fraction of its requests
+    double retryReserve = 50; ///< additional retries that the bound allows, over all nodes together
+    duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
+    std::size_t maxHeldBytes = 64 << 20; ///< of bodies of calls for the local backend server; more calls are refused
+};
+
 struct node_options {
     std::string name;
     std::uint64_t run = 0; ///< incarnation of the node's process; must exceed that of any earlier one
@@ -169,8 +179,6 @@
     std::string service; ///< of the local backend server
     socket_address address; ///< for links between nodes
     std::uint64_t seed = 1;
-    duration drainTime
-        = std::chrono::milliseconds(2500); ///< from the drain acknowledgement until the last call may be sent
     duration drainMargin = std::chrono::milliseconds(600); ///< calls are refused this long before drainTime ends
     /// A node that is shutting down accepts requests for this long; later ones could not finish before it exits.
     duration acceptWhileLeaving = std::chrono::milliseconds(2800);
@@ -181,9 +189,7 @@
     /// A backend server that still reports itself ready this long after its first heartbeat is used without a
     /// successful health check. One that is draining has stopped by then.
     duration trustAfter = std::chrono::milliseconds(5500);
-    double retryRatio = 0.2; ///< bound on the retries to a service, as a fraction of its requests
-    double retryReserve = 50; ///< additional retries that the bound allows, over all nodes together
-    duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
+    node_tuning tuning;
     double usableSlotFraction = 0.94; ///< many backend servers slow down when all slots are busy
     /// Whether retries and queues distinguish the call trees that nested calls belong to. false is the baseline for
     /// comparison: nested calls are all alike, and a failed tree is retried from its root.
@@ -243,6 +249,7 @@
     std::uint64_t link = 0;
     socket_address peer; ///< if this node opened the link
     std::string bytes;
+    duration delay { 0 }; ///< how long the frame may have waited in this process, which was paused
 };
 struct link_closed {
     std::uint64_t link = 0;
@@ -272,10 +279,13 @@
 };
 /// Starts a planned shutdown.
 struct leave_request { };
+struct tuning_changed {
+    node_tuning tuning;
+};
 
 using event = std::variant<client_request, client_disconnected, backend_result, backend_heartbeat,
     backend_deregistration, backend_check_result, backend_reachability, frame_received, link_closed, link_suspected,
-    status_received, configuration_received, nodes_listed, leave_request>;
+    status_received, configuration_received, nodes_listed, leave_request, tuning_changed>;
 
 struct send_response {
     std::uint64_t call = 0;
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -39,6 +39,12 @@
     void onIterationEnd(timer_handler handler) { m_iterationEndHandlers.push_back(std::move(handler)); }
     void run();
     void quit();
+    /// Calls the handler when another handler throws an exception, which would otherwise end the process. The loop goes
+    /// on.
+    void onError(std::function<void(const std::exception&)> handler) { m_errorHandler = std::move(handler); }
+    /// Returns how much later than a timer was due the current iteration began, if that shows that the process was
+    /// paused: what it reads in this iteration may be that old. Zero otherwise.
+    duration pauseBefore() const { return m_pause; }
 
 private:
     struct watch_entry {
@@ -48,6 +54,8 @@
     void dispatch();
     void runDueTimers();
     void updateReadyTime();
+    void measurePause();
+    template <typename Handler, typename... Arguments> void callGuarded(const Handler& handler, Arguments... arguments);
 
     int m_epoll;
     GMainContext* m_context;
@@ -58,6 +66,8 @@
     std::map<std::pair<time_point, std::uint64_t>, timer_handler> m_timers;
     std::unordered_map<std::uint64_t, time_point> m_timerTimes;
     std::vector<timer_handler> m_iterationEndHandlers;
+    std::function<void(const std::exception&)> m_errorHandler;
+    duration m_pause { 0 };
 };
 
 /// Owns a descriptor that is registered with a reactor; unregisters and closes it on destruction.
@@ -120,8 +130,12 @@
     /// called for it.
     std::function<void(std::uint64_t exchange, http_request request)> request;
     std::function<void(std::uint64_t exchange)> disconnected; ///< the connection ended before the response
+    /// The server answered a request itself that it has not passed on. Optional.
+    std::function<void(int status, const std::vector<header>& headers)> rejected;
 };
 
+class body_budget;
+
 /// HTTP/1.1 server. A request is passed to the callback once it is complete; the next request on the same connection is
 /// passed on only after the response to the first.
 class http_server {
@@ -137,6 +151,13 @@
     void respond(std::uint64_t exchange, const http_answer& response);
     /// New timeouts apply immediately; an open connection adopts new size limits after its next response.
     void setLimits(const mesh::client_limits& limits);
+    /// Bounds the bytes held for bodies. A request whose body exceeds the budget is refused with status 503 before its
+    /// body is read. The budget must outlive the server.
+    void setBudget(body_budget* budget);
+    /// Bounds the open connections. At the bound, the connection that has been idle longest is closed for a new one; if
+    /// none is idle, new ones wait until one closes.
+    void setMaxConnections(std::size_t connections);
+    std::size_t connectionCount() const;
     /// Closes each connection after its next response.
     void closeAfterResponses();
 
@@ -147,7 +168,8 @@
 
 /// Reason why a request to an HTTP server got no response.
 enum class exchange_failure : std::uint8_t {
-    notSent, ///< no connection was available or could be established; no byte was sent
+    notSent, ///< no connection could be established; no byte was sent
+    noCapacity, ///< all connections are in use, or the process lacks descriptors; no byte was sent
     lost, ///< the connection ended before a complete response, or the response was malformed or too large
     timeout, ///< exchange_request::timeout expired; the request may have been sent
 };
@@ -167,6 +189,7 @@
     /// An idle connection is closed this long before the server may close it.
     duration idleMargin = std::chrono::milliseconds(1200);
     std::size_t maxResponseBytes = 64 << 20; ///< of the body
+    body_budget* budget = nullptr; ///< for the bodies of responses while they are read; nullptr: unbounded
 };
 
 /// Pool of persistent connections to one HTTP server. Each connection carries one request at a time.
@@ -306,7 +329,9 @@
     duration stopTime { 0 }; ///< a process that is still stopping after this time is killed from outside
     double retryRatio = 0.2; ///< bound on the retries to a service, as a fraction of its requests
     double retryReserve = 50; ///< additional retries that the bound allows, over all nodes
-    std::size_t maxDescriptors = 1024; ///< parsed but not applied
+    std::size_t maxDescriptors = 1024; ///< of the process
+    std::size_t memoryMb = 256; ///< of the process; a process that exceeds it is killed from outside
+    duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
     auto operator<=>(const daemon_settings&) const = default;
 };
 
@@ -327,7 +352,8 @@
     void run();
     /// Starts a graceful shutdown.
     void stop();
-    /// Logs whether the reloaded settings differ from the running ones. They are not applied while the daemon runs.
+    /// Applies changed limits, times and ratios. A changed name, place, service or address is logged as not applied: it
+    /// needs a restart.
     void reload(const daemon_settings& settings);
     /// Logs that the reloaded settings are invalid. The daemon keeps running with the current ones.
     void logRejectedReload(const error& reason);
--- a/src/libmesh/backend.cpp
+++ b/src/libmesh/backend.cpp
@@ -8,7 +8,8 @@
 /// Returns the time from which calls that have not started are refused.
 time_point node::state::servingDeadline() const
 {
-    return backend.draining ? backend.drainStartedAt + options.drainTime - options.drainMargin : time_point::max();
+    return backend.draining ? backend.drainStartedAt + options.tuning.drainTime - options.drainMargin
+                            : time_point::max();
 }
 
 bool node::state::canServe(time_point now) const
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -195,7 +195,7 @@
     ++target->sentSinceReport;
     startImpatience(call, *target);
     if (target == &self) {
-        serve(localLink, std::move(message), now, out);
+        serve(localLink, std::move(message), duration(0), now, out);
         return;
     }
     wire::frame_data frame;
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -8,6 +8,7 @@
 
     // Nodes normally read a new configuration from the store; after this delay they request it from another node.
     constexpr duration pullAfter = std::chrono::milliseconds(400);
+    constexpr duration maxRetryAfter = std::chrono::seconds(10);
     // Datagrams of an earlier run of a node arrive no later than this after its last one.
     constexpr duration clockRollbackTimeout = std::chrono::milliseconds(1300);
 
@@ -38,7 +39,7 @@
         peer->sentSinceReport = 0;
     };
     if (frame.call)
-        serve(received.link, std::move(*frame.call), now, out);
+        serve(received.link, std::move(*frame.call), received.delay, now, out);
     if (frame.cancel)
         cancelServing({ received.link, frame.cancel->id }, now, out);
     if (frame.answer) {
@@ -52,7 +53,8 @@
     if (frame.failure) {
         updateLoad(frame.failure->load);
         const auto kind = static_cast<failure_kind>(std::min<std::uint8_t>(frame.failure->kind, 3));
-        attemptFailed(frame.failure->id, kind, duration(frame.failure->retry_after_us), now, out);
+        const auto retryAfter = std::clamp(duration(frame.failure->retry_after_us), duration(0), maxRetryAfter);
+        attemptFailed(frame.failure->id, kind, retryAfter, now, out);
     }
     if (frame.configuration_pull && !document.empty()) {
         wire::frame_data reply;
@@ -73,8 +75,12 @@
 
 void node::state::updatePeer(const wire::status_data& status, const std::string& bytes, time_point now, actions& out)
 {
-    if (status.node == options.name || status.node.empty())
+    if (status.node == options.name)
         return;
+    if (status.node.empty() || status.ip.empty() || status.port == 0) {
+        log(out, "status_ignored", { { "reason", "it names no node or address" } });
+        return;
+    }
     const socket_address address { status.ip, status.port };
     auto& peer = peers[status.node];
     // Run numbers come from the wall clock. A lower one means a delayed datagram, unless the clock was set back and the
--- a/src/libmesh/mesh_backend_test.cpp
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -243,4 +243,73 @@
     EXPECT_EQ(fixture.subject.statistics(fixture.now).callsInFlight, 0U);
 }
 
+/// Handles a call of another node.
+void receiveCall(node_fixture& fixture, std::uint64_t id, std::size_t bodyBytes, duration remaining, duration delay)
+{
+    wire::frame_data frame;
+    frame.call = std::make_unique<wire::call_request_data>();
+    frame.call->id = id;
+    frame.call->service = "stock";
+    frame.call->request_id = "r" + std::to_string(id);
+    frame.call->method = "POST";
+    frame.call->path = "/stock/1";
+    frame.call->body = std::string(bodyBytes, 'x');
+    frame.call->remaining_us = remaining.count();
+    frame.call->queue_us = remaining.count();
+    fixture.handle(frame_received { 7, {}, encodeFrame(frame), delay });
+}
+
+// Large uploads of many nodes for one backend server must not use up the memory of its VM.
+TEST(serving, callsBeyondTheMemoryForBodiesAreNotExecuted)
+{
+    node_fixture fixture;
+    fixture.configure();
+    fixture.addBackend("i-1", 100);
+    node_tuning tuning;
+    tuning.maxHeldBytes = 1'000'000;
+    fixture.handle(tuning_changed { tuning });
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        receiveCall(fixture, id, 300'000, 1s, duration(0));
+    auto runs = fixture.take<run_on_backend>();
+    ASSERT_EQ(runs.size(), 3U);
+    const auto replies = fixture.take<reply_frame>();
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(parseFrame(replies[0].bytes)->failure->kind, static_cast<std::uint8_t>(failure_kind::notExecuted));
+    fixture.handle(backend_result { runs[0].attempt, okAnswer() });
+    receiveCall(fixture, 5, 300'000, 1s, duration(0));
+    EXPECT_EQ(fixture.take<run_on_backend>().size(), 1U);
+}
+
+// A process that was paused reads calls whose callers may have given up meanwhile. It must not give the backend server
+// more time than is left, and must not start what has run out.
+TEST(serving, timeOfAPauseIsTakenFromTheDeadline)
+{
+    node_fixture fixture;
+    fixture.configure();
+    fixture.addBackend("i-1", 100);
+    receiveCall(fixture, 1, 0, 5s, 3s);
+    auto runs = fixture.take<run_on_backend>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs[0].remaining, 2s);
+    receiveCall(fixture, 2, 0, 2s, 3s);
+    EXPECT_TRUE(fixture.take<run_on_backend>().empty());
+    const auto replies = fixture.take<reply_frame>();
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(parseFrame(replies[0].bytes)->failure->kind, static_cast<std::uint8_t>(failure_kind::notExecuted));
+}
+
+// Faulty times of another node must not overflow.
+TEST(serving, absurdTimesOfAnotherNodeAreBounded)
+{
+    node_fixture fixture;
+    fixture.configure();
+    fixture.addBackend("i-1", 100);
+    receiveCall(fixture, 1, 0, duration::max(), duration(0));
+    const auto runs = fixture.take<run_on_backend>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_LE(runs[0].remaining, 1h);
+    receiveCall(fixture, 2, 0, duration::min(), duration(0));
+    EXPECT_TRUE(fixture.take<run_on_backend>().empty());
+}
+
 } // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -16,10 +16,11 @@
     retry_budget::options retryOptions(const node_options& options)
     {
         if (!options.treeAware)
-            return { options.retryRatio * usedFractionWithoutTrees, options.retryReserve * usedFractionWithoutTrees };
-        const double window = std::chrono::duration<double>(options.retryWindow).count();
-        return { options.retryRatio * usedRatio, options.retryReserve * initialReserve,
-            options.retryReserve * storedReserve, options.retryReserve * recurringReserve / window };
+            return { options.tuning.retryRatio * usedFractionWithoutTrees,
+                options.tuning.retryReserve * usedFractionWithoutTrees };
+        const double window = std::chrono::duration<double>(options.tuning.retryWindow).count();
+        return { options.tuning.retryRatio * usedRatio, options.tuning.retryReserve * initialReserve,
+            options.tuning.retryReserve * storedReserve, options.tuning.retryReserve * recurringReserve / window };
     }
 
 } // namespace
@@ -74,6 +75,11 @@
         void operator()(const status_received& each) const { own.receiveStatus(each, now, out); }
         void operator()(configuration_received& each) const { own.applyConfiguration(std::move(each), now, out); }
         void operator()(const nodes_listed& each) const { own.addListedNodes(each, now); }
+        void operator()(const tuning_changed& each) const
+        {
+            own.options.tuning = each.tuning;
+            own.retries.configure(retryOptions(own.options));
+        }
         void operator()(const leave_request& /*each*/) const
         {
             own.self.leaving = true;
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -14,6 +14,8 @@
     constexpr double failureBelow = 0.5;
     // Slots assumed until the first heartbeat if no other node has reported any for this service.
     constexpr unsigned defaultSlots = 48;
+    // Longer times come from a faulty sender.
+    constexpr duration maxRemaining = std::chrono::hours(1);
     // A call is silent after this multiple of the mean latency.
     constexpr double silentLatencies = 6;
     constexpr duration minSilence = std::chrono::milliseconds(250);
@@ -59,15 +61,28 @@
     return static_cast<double>(silent) / static_cast<double>(admissionControl.inFlight());
 }
 
-void node::state::serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out)
+/// Accepts a call for the local backend server. delay: time for which it may have waited unread; its deadline counts
+/// from before.
+void node::state::serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out)
 {
     const serving_key key { link, call.id };
     arrivals.add(now);
-    if (!canServe(now) || !acceptsRequests(now) || call.service != self.service) {
+    const auto remaining = std::clamp(duration(call.remaining_us), duration(0), maxRemaining) - delay;
+    std::string_view reason;
+    if (!canServe(now) || !acceptsRequests(now) || call.service != self.service)
+        reason = "no-backend-server";
+    else if (remaining <= duration(0))
+        reason = "deadline-exceeded";
+    else if (heldBytes + call.body.size() > options.tuning.maxHeldBytes)
+        reason = "memory";
+    else if (servingByKey.contains(key))
+        reason = "duplicate";
+    if (!reason.empty()) {
         log(out, "call_refused",
-            { { "id", call.request_id }, { "reason", "no-backend-server" }, { "wanted", call.service },
+            { { "id", call.request_id }, { "reason", std::string(reason) }, { "wanted", call.service },
                 { "backend", backend.id }, { "reachable", backend.reachable ? "1" : "0" },
-                { "leaving", backend.draining ? "1" : "0" } });
+                { "leaving", backend.draining ? "1" : "0" }, { "delay_ms", milliseconds(delay) },
+                { "held_bytes", std::to_string(heldBytes) } });
         sendFailure(key, failure_kind::notExecuted, duration(0), now, out);
         return;
     }
@@ -76,8 +91,11 @@
     kept.link = link;
     kept.id = call.id;
     kept.arrived = now;
-    kept.deadline = now + duration(call.remaining_us);
+    kept.deadline = now + remaining;
+    kept.bodyBytes = call.body.size();
+    heldBytes += kept.bodyBytes;
     kept.content = std::move(call);
+    kept.content.remaining_us = remaining.count();
     serving.emplace(servingId, std::move(kept));
     servingByKey[key] = servingId;
     offer(servingId, now, out);
@@ -135,6 +153,7 @@
 {
     const auto found = serving.find(servingId);
     servingByKey.erase({ found->second.link, found->second.id });
+    heldBytes -= found->second.bodyBytes;
     serving.erase(found);
 }
 
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -53,6 +53,7 @@
     time_point arrived {};
     time_point deadline {};
     time_point startedAt {};
+    std::size_t bodyBytes = 0;
     bool started = false;
     std::uint64_t generation = 0; ///< of the backend server that executes it
 };
@@ -148,9 +149,10 @@
     double latency = 0; ///< recent mean in microseconds; 0: unknown
     double failureRate = 0; ///< recent fraction of failed calls
     double silentFraction = 0; ///< of the running calls, when the last status was sent
+    std::size_t heldBytes = 0; ///< of the bodies of serving
     rate_estimator arrivals; ///< of calls, including those refused
 
-    void serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out);
+    void serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, time_point now, actions& out);
     void cancelLinkServing(std::uint64_t link, time_point now, actions& out);
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -1,5 +1,6 @@
 // Connects the decision logic of a mesh node (mesh.h) to its sockets, timers and store.
 
+#include "body_budget.h"
 #include "metrics.h"
 #include <fcntl.h>
 #include <limpetcroft/proxy.h>
@@ -25,6 +26,40 @@
     constexpr duration healthCheckTimeout = std::chrono::seconds(1);
     constexpr duration probeInterval = std::chrono::milliseconds(400);
 
+    // Descriptors for files, listeners, the store client and the event loop.
+    constexpr std::size_t reservedDescriptors = 264;
+    constexpr std::size_t minDescriptorsPerUse = 32;
+    // Parts of the other descriptors. The rest is for links between nodes.
+    constexpr double clientFraction = 0.5;
+    constexpr double backendFraction = 0.3;
+    constexpr double localFraction = 0.05; ///< each of the health, control and metrics servers
+    // A body is held up to three times while it is passed on: as received, in a frame, and in a socket's buffer.
+    constexpr std::size_t bodyMemoryDivisor = 4;
+    constexpr std::size_t responseMemoryDivisor = 8;
+    constexpr std::size_t bytesPerMb = 1 << 20;
+
+    std::size_t descriptorsFor(const daemon_settings& settings, double fraction)
+    {
+        const auto all = settings.maxDescriptors - std::min(settings.maxDescriptors, reservedDescriptors);
+        return std::max(minDescriptorsPerUse, static_cast<std::size_t>(static_cast<double>(all) * fraction));
+    }
+
+    std::size_t bodyBudget(const daemon_settings& settings)
+    {
+        return settings.memoryMb * bytesPerMb / bodyMemoryDivisor;
+    }
+
+    mesh::node_tuning makeTuning(const daemon_settings& settings)
+    {
+        mesh::node_tuning tuning;
+        tuning.drainTime = settings.drainTime;
+        tuning.retryRatio = settings.retryRatio;
+        tuning.retryReserve = settings.retryReserve;
+        tuning.retryWindow = settings.retryWindow;
+        tuning.maxHeldBytes = bodyBudget(settings);
+        return tuning;
+    }
+
     bool equalsIgnoreCase(const std::string& left, const std::string& right)
     {
         return strcasecmp(left.c_str(), right.c_str()) == 0;
@@ -67,9 +102,7 @@
         options.service = settings.service;
         options.address = settings.linkAddress;
         options.seed = options.run ^ makeNodeId(settings.name).value;
-        options.drainTime = settings.drainTime;
-        options.retryRatio = settings.retryRatio;
-        options.retryReserve = settings.retryReserve;
+        options.tuning = makeTuning(settings);
         return options;
     }
 
@@ -82,6 +115,7 @@
     deployment_adapter adapter;
     reactor loop;
     log_sink log;
+    body_budget bodies;
     mesh::node node;
     mesh::registry registry;
     http_server clientServer;
@@ -130,12 +164,16 @@
     void startWatch(store_revision from);
     void reportListedNodes(const std::vector<std::string>& entries);
     void quitWhenStopped();
+    void applyLimits();
+    void applyBackendLimit();
+    void reportError(const char* where, const std::exception& exception);
 };
 
 mesh_daemon::state::state(daemon_settings daemonSettings, deployment_adapter deploymentAdapter)
     : settings(std::move(daemonSettings))
     , adapter(std::move(deploymentAdapter))
     , log(STDOUT_FILENO, settings.name)
+    , bodies(bodyBudget(settings))
     , node(makeNodeOptions(settings))
     , registry({ adapter.configurationKey, adapter.entryPrefix, settings.name,
           toText(settings.linkAddress) + entrySeparator + settings.availabilityZone })
@@ -153,7 +191,8 @@
               [this](const http_request&) {
                   return textResponse(statusOk, nodeMetrics.format(node.statistics(bootTime())));
               }))
-    , backendPool(loop, settings.backendAddress)
+    , backendPool(loop, settings.backendAddress,
+          { .maxResponseBytes = settings.memoryMb * bytesPerMb / responseMemoryDivisor, .budget = &bodies })
     , nodeLinks(loop, settings.linkAddress, linkCallbacks())
     , statusSocket(loop, settings.linkAddress, [this](mesh::status_received received) { handle(std::move(received)); })
     , store(adapter.openStore(loop, settings.storeAddress))
@@ -169,6 +208,12 @@
         nodeMetrics.clientDisconnected(exchange);
         handle(mesh::client_disconnected { exchange });
     };
+    callbacks.rejected = [this](int status, const std::vector<header>& headers) {
+        const auto* id = findHeader(headers, adapter.headers.requestId);
+        logEvent({ "request_rejected",
+            { { "id", id ? *id : "" }, { "status", std::to_string(status) },
+                { "held_bytes", std::to_string(bodies.used()) } } });
+    };
     return callbacks;
 }
 
@@ -185,7 +230,10 @@
 
 frame_links_callbacks mesh_daemon::state::linkCallbacks()
 {
-    return { [this](mesh::frame_received received) { handle(std::move(received)); },
+    return { [this](mesh::frame_received received) {
+                received.delay = loop.pauseBefore();
+                handle(std::move(received));
+            },
         [this](mesh::link_closed closed) {
             if (!closed.peer.ip.empty())
                 logEvent({ "link_closed",
@@ -199,6 +247,9 @@
 {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    loop.onError([this](const std::exception& exception) { reportError("event loop", exception); });
+    clientServer.setBudget(&bodies);
+    applyLimits();
     for (auto* server : { &clientServer, &healthServer, &controlServer, &metricsServer }) {
         if (auto opened = server->listen(); !opened)
             return opened;
@@ -235,8 +286,12 @@
     for (std::size_t index = 0; index < pendingEvents.size(); ++index) {
         mesh::actions actions;
         auto next = std::move(pendingEvents[index]);
-        node.handle(std::move(next), bootTime(), actions);
-        execute(actions);
+        try {
+            node.handle(std::move(next), bootTime(), actions);
+            execute(actions);
+        } catch (const std::exception& exception) {
+            reportError("event", exception);
+        }
     }
     pendingEvents.clear();
     handlingEvents = false;
@@ -246,11 +301,41 @@
 {
     mesh::actions actions;
     handlingEvents = true;
-    node.tick(bootTime(), actions);
-    execute(actions);
+    try {
+        node.tick(bootTime(), actions);
+        execute(actions);
+    } catch (const std::exception& exception) {
+        reportError("timer", exception);
+    }
     handlePendingEvents();
 }
 
+/// One unexpected error must not end all requests of this process.
+void mesh_daemon::state::reportError(const char* where, const std::exception& exception)
+{
+    logEvent({ "unexpected_error", { { "where", where }, { "reason", exception.what() } } });
+}
+
+/// Applies the settings that may change while the daemon runs.
+void mesh_daemon::state::applyLimits()
+{
+    bodies.setLimit(bodyBudget(settings));
+    clientServer.setMaxConnections(descriptorsFor(settings, clientFraction));
+    for (auto* server : { &healthServer, &controlServer, &metricsServer })
+        server->setMaxConnections(descriptorsFor(settings, localFraction));
+    applyBackendLimit();
+    handle(mesh::tuning_changed { makeTuning(settings) });
+}
+
+void mesh_daemon::state::applyBackendLimit()
+{
+    const auto config = node.currentConfiguration();
+    const auto* ownService = config ? config->findService(settings.service) : nullptr;
+    const auto available = descriptorsFor(settings, backendFraction);
+    const auto allowed = ownService && ownService->maxConnections > 0 ? ownService->maxConnections : available;
+    backendPool.setMaxConnections(std::min<std::size_t>(allowed, available));
+}
+
 void mesh_daemon::state::armNodeTimer()
 {
     const auto next = node.nextTimer();
@@ -317,6 +402,8 @@
     if (!key.empty())
         event.key = digestOf(key);
     event.deadline = parseMilliseconds(findHeader(request.headers, names.deadline));
+    if (event.deadline)
+        event.deadline = std::max(duration(0), *event.deadline - loop.pauseBefore());
     const auto connectionHeader = headerValue("Connection");
     std::erase_if(request.headers, [&](const header& each) {
         for (const auto* name :
@@ -360,9 +447,14 @@
     const auto& names = adapter.headers;
     mesh::backend_result result { attempt, tl::unexpected(mesh::failure_kind::lost) };
     if (!outcome) {
-        if (outcome.error() == exchange_failure::notSent) {
+        const bool noCapacity = outcome.error() == exchange_failure::noCapacity;
+        if (noCapacity || outcome.error() == exchange_failure::notSent) {
             result.outcome = tl::unexpected(mesh::failure_kind::notExecuted);
             handle(std::move(result));
+            if (noCapacity) {
+                logEvent({ "backend_connections_used", { { "attempt", std::to_string(attempt) } } });
+                return;
+            }
             handle(mesh::backend_reachability { false });
             probeBackend();
             return;
@@ -453,9 +545,8 @@
         return;
     auto index = std::make_shared<const mesh::configuration_index>(std::move(*parsed));
     clientServer.setLimits(index->content().limits);
-    if (const auto* ownService = index->findService(settings.service); ownService && ownService->maxConnections > 0)
-        backendPool.setMaxConnections(ownService->maxConnections);
     handle(mesh::configuration_received { std::move(index), document });
+    applyBackendLimit();
 }
 
 void mesh_daemon::state::tickRegistry()
@@ -571,7 +662,23 @@
 void mesh_daemon::reload(const daemon_settings& settings)
 {
     auto& impl = *m_state;
-    impl.logEvent({ "reload", { { "changed", settings == impl.settings ? "0" : "1" } } });
+    auto applicable = impl.settings;
+    applicable.drainTime = settings.drainTime;
+    applicable.stopTime = settings.stopTime;
+    applicable.retryRatio = settings.retryRatio;
+    applicable.retryReserve = settings.retryReserve;
+    applicable.retryWindow = settings.retryWindow;
+    applicable.maxDescriptors = settings.maxDescriptors;
+    applicable.memoryMb = settings.memoryMb;
+    impl.logEvent({ "reload",
+        { { "changed", applicable == impl.settings ? "0" : "1" },
+            { "restart_needed", applicable == settings ? "0" : "1" },
+            { "max_descriptors", std::to_string(settings.maxDescriptors) },
+            { "memory_mb", std::to_string(settings.memoryMb) } } });
+    if (applicable == impl.settings)
+        return;
+    impl.settings = std::move(applicable);
+    impl.applyLimits();
 }
 
 void mesh_daemon::logRejectedReload(const error& reason)
--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -52,6 +52,7 @@
     m_target.clear();
     m_headers.clear();
     m_body = {};
+    m_reservation.clear();
 }
 
 http_parser_settings http_reader::makeSettings()
@@ -129,6 +130,10 @@
         m_state = reader_state::bodyTooLarge;
         return -1;
     }
+    if (lengthKnown && m_expectBody && !m_reservation.growTo(m_parser.content_length)) {
+        m_state = reader_state::overBudget;
+        return -1;
+    }
     return m_expectBody ? 0 : skipBody;
 }
 
@@ -138,6 +143,10 @@
         m_state = reader_state::bodyTooLarge;
         return 1;
     }
+    if (!m_reservation.growTo(m_body.size() + part.size())) {
+        m_state = reader_state::overBudget;
+        return 1;
+    }
     m_body += part;
     return 0;
 }
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -2,6 +2,7 @@
 
 // Incremental reader of HTTP/1.1 messages.
 
+#include "body_budget.h"
 #include <http_parser.h>
 #include <limpetcroft/proxy.h>
 
@@ -12,6 +13,7 @@
     complete, ///< bytes after the message were not consumed
     headersTooLarge,
     bodyTooLarge,
+    overBudget, ///< the process holds too many bytes of bodies; the body has not been read
     malformed,
 };
 
@@ -23,6 +25,11 @@
     http_reader& operator=(const http_reader&) = delete;
 
     void setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
+    /// The bytes of bodies are taken from the budget, those of a body of known length before it is read, until
+    /// restart().
+    void setBudget(body_budget* budget) { m_reservation = body_reservation(budget); }
+    /// Returns the reservation for the body, for an owner that holds the body longer.
+    body_reservation takeReservation() { return std::move(m_reservation); }
     /// Prepares for the next message. expectBody is false for responses to HEAD, which have no body.
     void restart(bool expectBody = true);
     /// Consumes bytes up to the end of the message and returns their number.
@@ -66,6 +73,7 @@
     std::string m_target;
     std::vector<header> m_headers;
     std::string m_body;
+    body_reservation m_reservation;
 };
 
 /// Appends the headers, a Content-Length header and the empty line that ends the header section.
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -111,8 +111,9 @@
 void frame_links::state::acceptConnections()
 {
     socket_address peer;
-    for (int descriptor = acceptConnection(listener.get(), peer); descriptor >= 0;
-         descriptor = acceptConnection(listener.get(), peer)) {
+    bool outOfDescriptors = false;
+    for (int descriptor = acceptConnection(listener.get(), peer, outOfDescriptors); descriptor >= 0;
+         descriptor = acceptConnection(listener.get(), peer, outOfDescriptors)) {
         const auto serial = nextSerial++;
         auto& peerLink = links[serial];
         peerLink.serial = serial;
@@ -121,6 +122,9 @@
         peerLink.socket
             = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
     }
+    // The connections that are pending raise no further event.
+    if (outOfDescriptors)
+        loop.callAt(bootTime() + acceptRetryInterval, [this] { acceptConnections(); });
 }
 
 link* frame_links::state::openLink(const socket_address& peer)
@@ -211,7 +215,12 @@
         callbacks.suspected({ peer, false });
     for (auto& message : messages)
         callbacks.frame({ serial, peer, std::move(message) });
-    return outcome == read_outcome::drained || !links.contains(serial);
+    if (outcome == read_outcome::more)
+        loop.callAt(bootTime(), [this, serial, events] {
+            if (links.contains(serial))
+                handleReady(serial, events);
+        });
+    return outcome == read_outcome::drained || outcome == read_outcome::more || !links.contains(serial);
 }
 
 void frame_links::state::close(std::uint64_t serial)
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -3,6 +3,7 @@
 #include "http_reader.h"
 #include "sockets.h"
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <sys/epoll.h>
 
@@ -14,6 +15,9 @@
     constexpr duration ackTimeout = std::chrono::seconds(4);
     constexpr std::string_view keepAliveTimeoutParameter = "timeout=";
     constexpr int firstFinalStatus = 200;
+    constexpr int firstNonSuccessStatus = 300;
+    // Interim responses and responses to other requests that are skipped before the expected one.
+    constexpr unsigned maxSkippedResponses = 16;
 
     struct exchange {
         exchange_request request;
@@ -29,6 +33,7 @@
         bool connecting = true;
         bool answered = false; ///< not used
         std::uint64_t exchange = 0; ///< zero: idle or used by a probe
+        unsigned skippedResponses = 0; ///< since its exchange began
         std::function<void(bool)> probe;
         time_point usableUntil {};
         std::uint64_t timer = 0; ///< connect timeout or idle timeout
@@ -135,12 +140,15 @@
         }
         closeConnection(serial);
     }
-    auto* newConnection = connections.size() < options.maxConnections ? open() : nullptr;
+    const bool full = connections.size() >= options.maxConnections;
+    errno = 0;
+    auto* newConnection = full ? nullptr : open();
     if (newConnection) {
         sendRequest(*newConnection, id);
         return;
     }
-    loop.callAt(now, [this, id] { completeExchange(id, tl::unexpected(exchange_failure::notSent)); });
+    const auto failure = full || lacksDescriptors() ? exchange_failure::noCapacity : exchange_failure::notSent;
+    loop.callAt(now, [this, id, failure] { completeExchange(id, tl::unexpected(failure)); });
 }
 
 connection* http_pool::state::open()
@@ -153,6 +161,7 @@
     auto& conn = connections.try_emplace(serial).first->second;
     conn.serial = serial;
     conn.reader.setLimits(maxHeaderBytes, options.maxResponseBytes);
+    conn.reader.setBudget(options.budget);
     conn.socket
         = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
     conn.timer = loop.callAt(bootTime() + options.connectTimeout, [this, serial] { connectTimedOut(serial); });
@@ -173,6 +182,7 @@
 {
     loop.cancelTimer(std::exchange(conn.timer, conn.connecting ? conn.timer : 0));
     conn.exchange = id;
+    conn.skippedResponses = 0;
     connectionByExchange[id] = conn.serial;
     const auto& content = exchanges.at(id).request.content;
     std::string head = content.method + " " + content.path + " HTTP/1.1\r\n";
@@ -244,8 +254,15 @@
         handleResponse(conn, rest);
         unusable = true;
     }
-    if (unusable || outcome != read_outcome::drained)
+    if (unusable || outcome == read_outcome::ended || outcome == read_outcome::broken) {
         failConnection(serial, exchange_failure::lost);
+        return;
+    }
+    if (outcome == read_outcome::more)
+        loop.callAt(bootTime(), [this, serial, events] {
+            if (connections.contains(serial))
+                handleReady(serial, events);
+        });
 }
 
 /// Handles a complete message; skips interim responses and responses to other requests. rest are the received bytes
@@ -258,9 +275,13 @@
     const auto id = conn.exchange;
     const auto& request = exchanges.at(id).request;
     const auto* responseId = request.idHeader.empty() ? nullptr : findHeader(reader.headers(), request.idHeader);
-    const bool otherRequest = responseId && *responseId != request.id;
+    // A success without the identifier may be the copy of an earlier response.
+    const bool unidentified = !request.idHeader.empty() && !responseId && reader.status() >= firstFinalStatus
+        && reader.status() < firstNonSuccessStatus;
+    const bool otherRequest = unidentified || (responseId && *responseId != request.id);
     if (otherRequest || reader.status() < firstFinalStatus) {
-        const bool usable = reader.keepAlive() || reader.status() < firstFinalStatus;
+        const bool usable = (reader.keepAlive() || reader.status() < firstFinalStatus)
+            && ++conn.skippedResponses <= maxSkippedResponses;
         reader.restart(request.content.method != "HEAD");
         return usable;
     }
@@ -268,6 +289,7 @@
     response.status = reader.status();
     response.headers = std::move(reader.headers());
     response.body = makeBytes(std::move(reader.body()));
+    reader.takeReservation().clear();
     const bool requestSent = conn.out.empty();
     const bool usable = reader.keepAlive() && requestSent && rest.empty();
     conn.usableUntil = bootTime() + options.idleTimeout - options.idleMargin;
--- a/src/libproxy/proxy_http_test.cpp
+++ b/src/libproxy/proxy_http_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the HTTP/1.1 server and connection pool: message framing, responses to other requests, truncated responses,
 // limits and client disconnects. Also covers the structured log and the settings parser.
 
-#include "proxy_sockets_test.h"
+#include "proxy_fixtures_test.h"
 
 using namespace limpet;
 using namespace limpet::proxy;
@@ -10,58 +10,8 @@
 
 namespace {
 
-std::string readAvailable(int descriptor)
-{
-    std::string bytes(65536, '\0');
-    const auto count = recv(descriptor, bytes.data(), bytes.size(), 0);
-    bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
-    return bytes;
-}
-
-void sendAll(int descriptor, std::string_view bytes)
-{
-    ASSERT_EQ(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
-}
-
 // ---- Server ----
 
-struct server_fixture {
-    reactor loop;
-    std::vector<std::pair<std::uint64_t, http_request>> requests;
-    std::vector<std::uint64_t> disconnected;
-    http_server server;
-    int client = -1;
-    std::string received;
-
-    explicit server_fixture(std::uint16_t port)
-        : server(loop, { "127.0.0.1", port },
-            { [this](std::uint64_t exchange, http_request request) {
-                 requests.emplace_back(exchange, std::move(request));
-             },
-                [this](std::uint64_t exchange) { disconnected.push_back(exchange); } })
-    {
-        EXPECT_TRUE(server.listen());
-        client = openSocket(port, false);
-    }
-    ~server_fixture() { close(client); }
-    server_fixture(const server_fixture&) = delete;
-    server_fixture& operator=(const server_fixture&) = delete;
-
-    bool waitForText(const std::string& text)
-    {
-        return runUntil(loop, [&] {
-            received += readAvailable(client);
-            return received.find(text) != std::string::npos;
-        });
-    }
-    bool waitForRequests(std::size_t count)
-    {
-        return runUntil(loop, [&] { return requests.size() >= count; });
-    }
-};
-
-constexpr std::string_view plainRequest = "GET /a/1 HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\n\r\n";
-
 TEST(server, handlesOneRequestPerConnectionAtATime)
 {
     server_fixture fixture(17701);
@@ -135,55 +85,6 @@
 
 // ---- Connection pool ----
 
-/// Fake backend server. The test writes its raw responses.
-struct fake_backend {
-    reactor loop;
-    int listener;
-    int connection = -1;
-    http_pool pool;
-    std::string receivedRequest;
-    std::optional<tl::expected<http_answer, exchange_failure>> outcome;
-
-    explicit fake_backend(std::uint16_t port)
-        : listener(openSocket(port, true))
-        , pool(loop, { "127.0.0.1", port })
-    {
-    }
-    ~fake_backend()
-    {
-        close(listener);
-        if (connection >= 0)
-            close(connection);
-    }
-    fake_backend(const fake_backend&) = delete;
-    fake_backend& operator=(const fake_backend&) = delete;
-
-    void sendRequest(const std::string& id)
-    {
-        outcome.reset();
-        receivedRequest.clear();
-        exchange_request request;
-        request.content = { "GET", "/x", { { "Host", "x" }, { "X-Id", id } }, nullptr };
-        request.idHeader = "X-Id";
-        request.id = id;
-        pool.start(std::move(request), [this](auto received) { outcome = std::move(received); });
-        EXPECT_TRUE(runUntil(loop, [&] {
-            if (connection < 0) {
-                connection = accept(listener, nullptr, nullptr);
-                if (connection >= 0)
-                    fcntl(connection, F_SETFL, fcntl(connection, F_GETFL) | O_NONBLOCK);
-            }
-            if (connection >= 0)
-                receivedRequest += readAvailable(connection);
-            return receivedRequest.find("\r\n\r\n") != std::string::npos;
-        }));
-    }
-    bool waitForOutcome()
-    {
-        return runUntil(loop, [&] { return outcome.has_value(); });
-    }
-};
-
 TEST(pool, reusesItsConnection)
 {
     fake_backend backend(17711);
@@ -209,6 +110,44 @@
     EXPECT_EQ(*(*backend.outcome)->body, "mine");
 }
 
+// A copy of an earlier response without its identifier arrived late on a reused connection, and the next caller got it.
+TEST(pool, skipsASuccessWithoutAnIdentifier)
+{
+    fake_backend backend(17716);
+    backend.sendRequest("2");
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\nmine");
+    ASSERT_TRUE(backend.waitForOutcome());
+    ASSERT_TRUE(backend.outcome->has_value());
+    EXPECT_EQ(*(*backend.outcome)->body, "mine");
+}
+
+// The copy may also arrive with the right response in one packet, or byte by byte while the next request is sent.
+TEST(pool, neverDeliversASecondCopyToTheNextRequest)
+{
+    const std::string copy = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none";
+    for (const bool samePacket : { true, false }) {
+        fake_backend backend(samePacket ? 17717 : 17718);
+        backend.sendRequest("1");
+        sendAll(backend.connection, samePacket ? copy + copy : copy);
+        ASSERT_TRUE(backend.waitForOutcome());
+        EXPECT_EQ(*(*backend.outcome)->body, "one");
+        if (samePacket)
+            close(std::exchange(backend.connection, -1));
+        backend.sendRequest("2");
+        if (!samePacket) {
+            for (const char each : copy) {
+                sendAll(backend.connection, std::string(1, each));
+                runUntil(backend.loop, [turns = 0]() mutable { return ++turns > 1; });
+            }
+        }
+        sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo");
+        ASSERT_TRUE(backend.waitForOutcome());
+        ASSERT_TRUE(backend.outcome->has_value());
+        EXPECT_EQ(*(*backend.outcome)->body, "two");
+    }
+}
+
 TEST(pool, doesNotReuseAConnectionWithBytesAfterTheResponse)
 {
     fake_backend backend(17713);
--- a/src/libproxy/reactor.cpp
+++ b/src/libproxy/reactor.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr std::size_t maxEventsPerWait = 64;
+    // A delay of a due timer from which the process counts as paused: load alone delays timers less.
+    constexpr duration minPause = std::chrono::milliseconds(400);
 
     struct epoll_source {
         GSource base;
@@ -83,8 +85,27 @@
     m_timerTimes.erase(found);
 }
 
+/// Calls a handler. An exception must neither end the process nor pass through the C code of GLib.
+template <typename Handler, typename... Arguments>
+void reactor::callGuarded(const Handler& handler, Arguments... arguments)
+{
+    try {
+        handler(arguments...);
+    } catch (const std::exception& exception) {
+        if (m_errorHandler)
+            m_errorHandler(exception);
+    }
+}
+
+void reactor::measurePause()
+{
+    const auto late = m_timers.empty() ? duration(0) : bootTime() - m_timers.begin()->first.first;
+    m_pause = late >= minPause ? late : duration(0);
+}
+
 void reactor::dispatch()
 {
+    measurePause();
     // A handler may close a descriptor whose number is then reused during this iteration. The new entry has a newer
     // serial, so that the pending events of the old descriptor are skipped.
     const auto firstNewSerial = m_nextSerial;
@@ -96,11 +117,11 @@
         if (found == m_watches.end() || found->second.serial >= firstNewSerial)
             continue;
         const auto handler = found->second.handler;
-        (*handler)(each.events);
+        callGuarded(*handler, each.events);
     }
     runDueTimers();
     for (const auto& each : m_iterationEndHandlers)
-        each();
+        callGuarded(each);
     updateReadyTime();
 }
 
@@ -119,7 +140,7 @@
         const auto handler = std::move(next->second);
         m_timerTimes.erase(next->first.second);
         m_timers.erase(next);
-        handler();
+        callGuarded(handler);
         // The handler may have added or cancelled timers, which invalidates iterators.
         next = m_timers.begin();
     }
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -2,6 +2,7 @@
 
 #include "http_reader.h"
 #include "sockets.h"
+#include <limits>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -29,6 +30,7 @@
         connection_phase phase = connection_phase::reading;
         std::string pipelined; ///< received bytes that follow the request in progress
         write_buffer out;
+        body_reservation response; ///< bytes of the response that is being written
         std::uint64_t exchange = 0;
         bool closeAfterResponse = false;
         bool inputEnded = false; ///< the client has shut down its sending side
@@ -63,6 +65,9 @@
     socket_address address;
     http_server_callbacks callbacks;
     mesh::client_limits limits;
+    body_budget* budget = nullptr;
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+    bool acceptPaused = false; ///< connections may be pending that raise no further event
     watched_socket listener;
     std::unordered_map<std::uint64_t, connection> connections;
     std::unordered_map<std::uint64_t, std::uint64_t> connectionByExchange;
@@ -72,11 +77,14 @@
     std::uint64_t timeoutCheckTimer = 0;
 
     void acceptConnections();
+    void pauseAccepting(duration retryAfter);
+    bool closeLongestIdle();
     void handleReady(std::uint64_t serial, std::uint32_t events);
     bool readInput(connection& conn, std::uint32_t events);
     void processInput(std::uint64_t serial);
     void dispatchRequest(connection& conn);
     void sendError(connection& conn, const error_response& errorResponse);
+    void refuseForMemory(connection& conn);
     void write(connection& conn, const http_answer& response, bool close);
     void flush(std::uint64_t serial);
     void closeConnection(std::uint64_t serial);
@@ -105,22 +113,73 @@
 
 void http_server::closeAfterResponses() { m_state->closeAfterResponses = true; }
 
+void http_server::setBudget(body_budget* budget) { m_state->budget = budget; }
+
+void http_server::setMaxConnections(std::size_t connections)
+{
+    m_state->maxConnections = std::max<std::size_t>(connections, 1);
+    while (m_state->connections.size() > m_state->maxConnections && m_state->closeLongestIdle()) { }
+    m_state->acceptConnections();
+}
+
+std::size_t http_server::connectionCount() const { return m_state->connections.size(); }
+
 void http_server::state::acceptConnections()
 {
-    socket_address peer;
-    for (int descriptor = acceptConnection(listener.get(), peer); descriptor >= 0;
-         descriptor = acceptConnection(listener.get(), peer)) {
+    acceptPaused = false;
+    while (listener.get() >= 0) {
+        const bool full = connections.size() >= maxConnections;
+        if (full && !hasPendingConnection(listener.get()))
+            return;
+        if (full && !closeLongestIdle()) {
+            acceptPaused = true;
+            return;
+        }
+        socket_address peer;
+        bool outOfDescriptors = false;
+        const int descriptor = acceptConnection(listener.get(), peer, outOfDescriptors);
+        if (outOfDescriptors)
+            pauseAccepting(closeLongestIdle() ? duration(0) : acceptRetryInterval);
+        if (descriptor < 0)
+            return;
         const auto serial = nextSerial++;
         auto& conn = connections.try_emplace(serial).first->second;
         conn.serial = serial;
         conn.phaseStart = bootTime();
         conn.reader.setLimits(limits.maxHeaderBytes, limits.maxBodyBytes);
+        conn.reader.setBudget(budget);
+        conn.response = body_reservation(budget);
         conn.socket
             = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
         // Bytes that have already arrived raise an event once the socket is registered.
     }
 }
 
+void http_server::state::pauseAccepting(duration retryAfter)
+{
+    acceptPaused = true;
+    loop.callAt(bootTime() + retryAfter, [this] {
+        if (acceptPaused)
+            acceptConnections();
+    });
+}
+
+/// Closes the connection that has waited longest for its next request. Returns false if none is waiting.
+bool http_server::state::closeLongestIdle()
+{
+    const connection* longest = nullptr;
+    for (const auto& [serial, conn] : connections) {
+        const bool idle = conn.phase == connection_phase::lingering
+            || (conn.phase == connection_phase::reading && !conn.reader.started() && conn.pipelined.empty());
+        if (idle && (!longest || conn.phaseStart < longest->phaseStart))
+            longest = &conn;
+    }
+    if (!longest)
+        return false;
+    closeConnection(longest->serial);
+    return true;
+}
+
 void http_server::state::handleReady(std::uint64_t serial, std::uint32_t events)
 {
     auto& conn = connections.at(serial);
@@ -152,6 +211,11 @@
     });
     if (outcome == read_outcome::broken || overflow)
         return false;
+    if (outcome == read_outcome::more)
+        loop.callAt(bootTime(), [this, serial = conn.serial, events] {
+            if (connections.contains(serial))
+                handleReady(serial, events);
+        });
     if (outcome == read_outcome::ended) {
         conn.inputEnded = true;
         // A client that ends its input is treated as disconnected, unless its response is already being written.
@@ -178,6 +242,10 @@
         dispatchRequest(conn);
         return;
     }
+    if (conn.reader.state() == reader_state::overBudget) {
+        refuseForMemory(conn);
+        return;
+    }
     if (conn.reader.state() != reader_state::reading) {
         sendError(conn, errorResponseFor(conn.reader.state()));
         return;
@@ -206,8 +274,25 @@
     callbacks.request(conn.exchange, std::move(request));
 }
 
+/// Refuses a request whose body has not been read, because the process holds too many bytes already.
+void http_server::state::refuseForMemory(connection& conn)
+{
+    const auto* length = findHeader(conn.reader.headers(), "Content-Length");
+    const auto bytes = length ? std::strtoull(length->c_str(), nullptr, 10) : 0;
+    const auto wait = std::chrono::duration<double>(budget->timeUntilFree(bytes, bootTime()));
+    http_answer response;
+    response.status = 503;
+    response.headers.push_back({ "Retry-After", std::to_string(wait.count()).substr(0, 5) });
+    response.body = makeBytes("too many bytes are being uploaded; try again later\n");
+    if (callbacks.rejected)
+        callbacks.rejected(response.status, conn.reader.headers());
+    write(conn, response, true);
+}
+
 void http_server::state::sendError(connection& conn, const error_response& errorResponse)
 {
+    if (callbacks.rejected)
+        callbacks.rejected(errorResponse.status, conn.reader.headers());
     http_answer response;
     response.status = errorResponse.status;
     response.body = makeBytes(std::string(errorResponse.text) + "\n");
@@ -238,6 +323,7 @@
     conn.out.add(head);
     if (response.body)
         conn.out.add(*response.body);
+    conn.response.add(conn.out.size());
     conn.phase = connection_phase::writingResponse;
     conn.phaseStart = bootTime();
     flush(conn.serial);
@@ -253,6 +339,7 @@
     if (conn.phase != connection_phase::writingResponse || !conn.out.empty())
         return;
     conn.phaseStart = bootTime();
+    conn.response.clear();
     if (conn.closeAfterResponse || conn.inputEnded) {
         shutdown(conn.socket.get(), SHUT_WR);
         conn.phase = connection_phase::lingering;
@@ -274,6 +361,8 @@
     const auto found = connections.find(serial);
     const auto exchange = found->second.exchange;
     connections.erase(found);
+    if (acceptPaused)
+        pauseAccepting(duration(0));
     if (exchange == 0)
         return;
     connectionByExchange.erase(exchange);
--- a/src/libproxy/settings.cpp
+++ b/src/libproxy/settings.cpp
@@ -104,6 +104,13 @@
     constexpr double maxReserve = 1e6;
     reader.readNumber("max_descriptors", 64, maxDescriptorLimit, descriptors);
     settings.maxDescriptors = static_cast<std::size_t>(descriptors);
+    double memoryMb = static_cast<double>(settings.memoryMb);
+    constexpr double maxMemoryMb = 1e6;
+    reader.readNumber("memory_mb", 16, maxMemoryMb, memoryMb);
+    settings.memoryMb = static_cast<std::size_t>(memoryMb);
+    reader.readMilliseconds("retry_window_ms", settings.retryWindow);
+    if (settings.retryWindow < std::chrono::seconds(1))
+        settings.retryWindow = std::chrono::seconds(1);
     reader.readNumber("retry_ratio", 0, 1, settings.retryRatio);
     reader.readNumber("retry_reserve", 0, maxReserve, settings.retryReserve);
     if (reader.firstError())
--- a/src/libproxy/sockets.cpp
+++ b/src/libproxy/sockets.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstring>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 
     constexpr int acceptBacklog = 4096;
     constexpr std::size_t readChunkBytes = 64 * 1024;
+    // A peer that sends without end must not keep the event loop from other connections.
+    constexpr unsigned maxChunksPerRead = 4;
 
     tl::unexpected<error> bindError(const socket_address& address)
     {
@@ -33,7 +36,7 @@
         const auto digits = text.substr(colon + 1);
         const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
         constexpr unsigned maxPort = 65535;
-        if (parsed.ec == std::errc {} && parsed.ptr == digits.data() + digits.size() && port <= maxPort) {
+        if (parsed.ec == std::errc {} && parsed.ptr == digits.data() + digits.size() && port >= 1 && port <= maxPort) {
             address.port = static_cast<std::uint16_t>(port);
             in_addr native {};
             if (inet_pton(AF_INET, address.ip.c_str(), &native) == 1)
@@ -87,12 +90,15 @@
     return failure;
 }
 
-int acceptConnection(int listener, socket_address& peer)
+bool lacksDescriptors() { return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM; }
+
+int acceptConnection(int listener, socket_address& peer, bool& outOfDescriptors)
 {
     sockaddr_in native {};
     socklen_t length = sizeof native;
     const int descriptor
         = accept4(listener, reinterpret_cast<sockaddr*>(&native), &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    outOfDescriptors = descriptor < 0 && lacksDescriptors();
     if (descriptor < 0)
         return -1;
     const int on = 1;
@@ -101,6 +107,12 @@
     return descriptor;
 }
 
+bool hasPendingConnection(int listener)
+{
+    pollfd request { listener, POLLIN, 0 };
+    return poll(&request, 1, 0) > 0;
+}
+
 int startConnect(const socket_address& address, duration ackTimeout)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -128,7 +140,7 @@
 {
     const bool endOfStreamSignaled = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     static thread_local std::array<char, readChunkBytes> buffer;
-    while (true) {
+    for (unsigned chunk = 0; chunk < maxChunksPerRead; ++chunk) {
         const auto count = recv(descriptor, buffer.data(), buffer.size(), 0);
         if (count == 0)
             return read_outcome::ended;
@@ -141,6 +153,7 @@
         if (received < buffer.size() && !endOfStreamSignaled)
             return read_outcome::drained;
     }
+    return read_outcome::more;
 }
 
 bool write_buffer::flush(int descriptor)
--- a/src/libproxy/sockets.h
+++ b/src/libproxy/sockets.h
@@ -14,19 +14,28 @@
 result<int> openListener(const socket_address& address);
 /// Opens a bound UDP socket. Errors: unavailable.
 result<int> openDatagram(const socket_address& address);
-/// Accepts one connection. Returns -1 if none is pending or accepting fails.
-int acceptConnection(int listener, socket_address& peer);
+/// Accepts one connection. Returns -1 if none is pending or accepting fails; outOfDescriptors tells that it failed for
+/// lack of descriptors or memory, so that connections may still be pending.
+int acceptConnection(int listener, socket_address& peer, bool& outOfDescriptors);
+/// Whether acceptConnection() would find a connection.
+bool hasPendingConnection(int listener);
+/// Between two attempts to accept connections while descriptors are lacking.
+constexpr duration acceptRetryInterval = std::chrono::milliseconds(100);
+/// Whether errno tells that the process or the system lacks descriptors or memory.
+bool lacksDescriptors();
 /// Starts a connect. Returns -1 if it fails immediately. The connection is dropped if sent data stays unacknowledged
 /// for ackTimeout (TCP_USER_TIMEOUT).
 int startConnect(const socket_address& address, duration ackTimeout);
 /// Returns whether a connect begun by startConnect() succeeded.
 bool connectSucceeded(int descriptor);
 
-/// drained: no more bytes are available at present, or the callback stopped the reading. ended: the peer has shut down
-/// its sending side. broken: the connection failed.
-enum class read_outcome : std::uint8_t { drained, ended, broken };
-/// Reads all available bytes and passes each chunk to the callback, which returns whether to continue. If the epoll
-/// events signal the end of the stream, reads up to that end.
+/// drained: no more bytes are available at present, or the callback stopped the reading. more: the bound of one call
+/// was reached; the caller must read again, since no new event may arise. ended: the peer has shut down its sending
+/// side. broken: the connection failed.
+enum class read_outcome : std::uint8_t { drained, more, ended, broken };
+/// Reads the available bytes, up to a bound that lets the event loop serve other descriptors in between, and passes
+/// each chunk to the callback, which returns whether to continue. If the epoll events signal the end of the stream,
+/// reads up to that end.
 read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk);
 
 /// Buffer of bytes that are yet to be sent.
