Fuzz the message readers and a whole node

Result: fuzz_node found that a status naming the node's own zone in another region ended the process (map::at in a relay); mended, with a test.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BUILD := build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build test asan seeds soak slopes graph format format-check lint demo measure generate bench clean
+.PHONY: all install build test asan seeds soak slopes graph fuzz format format-check lint demo measure generate bench clean
 
 all: build
 
@@ -43,6 +43,19 @@
 		'$(SOAK) --seed {} --seconds $(or $(SECONDS),12) --network 127.4.$$(({} % 250)) > $(BUILD)/soak-{}.txt 2>&1 \
 		|| { echo "seed {} failed, see $(BUILD)/soak-{}.txt"; exit 1; }'
 
+# Runs each fuzzing harness for SECONDS with libFuzzer under the sanitizers. New inputs go to the build folder; one that
+# fails is kept there as crash-*, and belongs into src/fuzz/corpus with a test of its cause. The tests replay the corpus.
+HARNESSES = http_request http_response platform settings node
+fuzz: install
+	dpkg -s clang libclang-rt-14-dev >/dev/null 2>&1 || apt-get install -y -qq clang libclang-rt-14-dev >/dev/null
+	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_BUILD_TYPE=Debug -DLIMPET_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target $(addprefix fuzz_,$(HARNESSES))
+	for name in $(HARNESSES); do \
+		mkdir -p $(BUILD)-fuzz/corpus/$$name; \
+		$(BUILD)-fuzz/src/fuzz/fuzz_$$name -max_total_time=$(or $(SECONDS),60) -seed=1 -print_final_stats=1 \
+			-artifact_prefix=$(BUILD)-fuzz/ $(BUILD)-fuzz/corpus/$$name src/fuzz/corpus/$$name || exit 1; \
+	done
+
 # Prints every slope that docs/CAPACITY.md uses.
 slopes: build
 	$(BUILD)/src/libfleet/fleet_bench 400
--- a/src/libmesh/dissemination.cpp
+++ b/src/libmesh/dissemination.cpp
@@ -140,7 +140,9 @@
 std::vector<const endpoint*> node::state::bundleReceivers(
     const std::string& zone, std::size_t relayIndex, time_point now)
 {
-    const auto relays = relaysOf(zone, now);
+    auto relays = relaysOf(zone, now);
+    // A faulty status may name this node's zone together with another region.
+    std::erase(relays, options.name);
     if (!relays.empty())
         return { &peers.at(relays[std::min(relayIndex, relays.size() - 1)]) };
     std::vector<const endpoint*> all;
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -108,6 +108,23 @@
     EXPECT_LE(ofOthers, 20U);
 }
 
+// Found by fuzz_node: a faulty status that names this node's zone together with another region made the node, as the relay
+// of its zone, look up itself among its peers; the exception ended the process.
+TEST(discovery, statusOfOwnZoneInAnotherRegionIsHarmless)
+{
+    node_fixture fixture;
+    wire::status_data status;
+    status.node = "b";
+    status.run = 1;
+    status.sequence = 1;
+    status.region = "south";
+    status.availability_zone = "north-a";
+    status.ip = "10.0.0.2";
+    status.port = 7000;
+    fixture.handle(status_received { { status.ip, status.port }, encodeStatus(status) });
+    EXPECT_NO_THROW(fixture.advance(1s));
+}
+
 // Large configurations must not cross the billed link between regions once per node.
 TEST(configuration, isRequestedFromTheNearestNode)
 {
