--- a/src/fuzz/harness.h
+++ b/src/fuzz/harness.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <string_view>
 
-// The name is that of libFuzzer.
-extern "C" int LLVMFuzzerTestOneInput(
-    const std::uint8_t* data, std::size_t size); // NOLINT(readability-identifier-naming)
+// NOLINTBEGIN(readability-identifier-naming): the name is that of libFuzzer.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
+// NOLINTEND(readability-identifier-naming)
 
 namespace limpet::fuzz {
 
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -108,8 +108,8 @@
     EXPECT_LE(ofOthers, 20U);
 }
 
-// Found by fuzz_node: a faulty status that names this node's zone together with another region made the node, as the relay
-// of its zone, look up itself among its peers; the exception ended the process.
+// Found by fuzz_node: a faulty status that names this node's zone together with another region made the node, as the
+// relay of its zone, look up itself among its peers; the exception ended the process.
 TEST(discovery, statusOfOwnZoneInAnotherRegionIsHarmless)
 {
     node_fixture fixture;
