--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -130,6 +130,7 @@
             { "kind", std::to_string(static_cast<int>(kind)) }, { "after_ms", milliseconds(now - call->sentAt) },
             { "service", call->service }, { "reached", std::to_string(call->reached.size()) },
             { "refusals", std::to_string(call->refusals) }, { "root_rank", std::to_string(call->position.rootRank) },
+            { "root_route_rank", std::to_string(call->position.rootRouteRank) },
             { "finished", std::to_string(call->position.finishedCalls) },
             { "retry_value", std::to_string(retryValue(*call)) } });
     if (allowed) {
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -1,30 +1,16 @@
 // Connects the decision logic of a mesh node (mesh.h) to its sockets, timers and store.
 
-#include "body_budget.h"
-#include "metrics.h"
+#include "daemon_state.h"
 #include <fcntl.h>
-#include <limpetcroft/proxy.h>
-#include <strings.h>
 #include <unistd.h>
 
 namespace limpet::proxy {
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusNotFound = 404;
-    constexpr int statusMisdirected = 421;
-    constexpr int statusUnavailable = 503;
-    constexpr int firstNonSuccessStatus = 300;
-    constexpr duration storeTimeout = std::chrono::milliseconds(900);
     // A stopping node keeps running for at least this long, so that clients and other nodes learn of the shutdown.
     constexpr duration stopGracePeriod = std::chrono::milliseconds(2300);
     // Part of the stop time that is reserved for the last writes before the process exits.
     constexpr duration stopMargin = std::chrono::milliseconds(700);
-    // Separates the link address and the availability zone in a node's entry in the store.
-    constexpr char entrySeparator = ' ';
-    constexpr duration healthCheckTimeout = std::chrono::seconds(1);
-    constexpr duration probeInterval = std::chrono::milliseconds(400);
 
     // Descriptors for files, listeners, the store client and the event loop.
     constexpr std::size_t reservedDescriptors = 264;
@@ -60,32 +46,6 @@
         return tuning;
     }
 
-    bool equalsIgnoreCase(const std::string& left, const std::string& right)
-    {
-        return strcasecmp(left.c_str(), right.c_str()) == 0;
-    }
-
-    http_answer textResponse(int status, std::string text)
-    {
-        http_answer response;
-        response.status = status;
-        response.headers.push_back({ "Content-Type", "text/plain" });
-        response.body = makeBytes(std::move(text));
-        return response;
-    }
-
-    std::optional<duration> parseMilliseconds(const std::string* text)
-    {
-        if (!text || text->empty())
-            return std::nullopt;
-        char* end = nullptr;
-        const double value = std::strtod(text->c_str(), &end);
-        constexpr double maxMilliseconds = 3600e3;
-        if (end == text->c_str() || value < 0 || value > maxMilliseconds)
-            return std::nullopt;
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
-    }
-
     std::uint64_t newRunId()
     {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -108,66 +68,14 @@
 
 } // namespace
 
-struct mesh_daemon::state {
-    state(daemon_settings daemonSettings, deployment_adapter deploymentAdapter);
-
-    daemon_settings settings;
-    deployment_adapter adapter;
-    reactor loop;
-    log_sink log;
-    body_budget bodies;
-    mesh::node node;
-    mesh::registry registry;
-    http_server clientServer;
-    http_server healthServer;
-    http_server controlServer;
-    http_server metricsServer;
-    http_pool backendPool;
-    frame_links nodeLinks;
-    status_socket statusSocket;
-    store_port store;
-    node_metrics nodeMetrics;
-    std::uint64_t nodeTimer = 0;
-    time_point nodeTimerAt = time_point::max();
-    std::uint64_t registryTimer = 0;
-    std::unordered_map<std::uint64_t, std::uint64_t> exchangeByAttempt; ///< in the backend pool
-    std::optional<store_watch_id> watch; ///< of the configuration
-    bool probing = false;
-    bool stopping = false;
-    bool handlingEvents = false;
-    std::vector<mesh::event> pendingEvents;
-    time_point earliestQuitAt {};
-    time_point forcedQuitAt {};
-
-    http_server_callbacks clientCallbacks();
-    /// Callbacks of a server that responds to each request immediately with the handler's result.
-    http_server_callbacks immediateCallbacks(
-        http_server& server, std::function<http_answer(const http_request&)> handler);
-    frame_links_callbacks linkCallbacks();
-    result<void> start();
-    void handle(mesh::event event);
-    void handlePendingEvents();
-    void tick();
-    void execute(mesh::actions& actions);
-    void armNodeTimer();
-    void logEvent(const mesh::log_event& line) { log.write(line, bootTime()); }
-    void handleClientRequest(std::uint64_t exchange, http_request request);
-    void runOnBackend(const mesh::run_on_backend& run);
-    void handleBackendOutcome(
-        std::uint64_t attempt, bool idempotent, tl::expected<http_answer, exchange_failure> outcome);
-    void probeBackend();
-    void checkBackend(const std::string& healthPath);
-    http_answer handleControl(const http_request& request);
-    void applyConfiguration(const std::string& document);
-    void tickRegistry();
-    void execute(mesh::registry::outcome& outcome);
-    void startWatch(store_revision from);
-    void reportListedNodes(const std::vector<std::string>& entries);
-    void quitWhenStopped();
-    void applyLimits();
-    void applyBackendLimit();
-    void reportError(const char* where, const std::exception& exception);
-};
+http_answer textResponse(int status, std::string text)
+{
+    http_answer response;
+    response.status = status;
+    response.headers.push_back({ "Content-Type", "text/plain" });
+    response.body = makeBytes(std::move(text));
+    return response;
+}
 
 mesh_daemon::state::state(daemon_settings daemonSettings, deployment_adapter deploymentAdapter)
     : settings(std::move(daemonSettings))
@@ -387,234 +295,6 @@
         std::visit(action_executor { *this }, each);
 }
 
-void mesh_daemon::state::handleClientRequest(std::uint64_t exchange, http_request request)
-{
-    const auto& names = adapter.headers;
-    mesh::client_request event;
-    event.call = exchange;
-    const auto headerValue = [&](const std::string& name) {
-        const auto* value = findHeader(request.headers, name);
-        return value ? *value : std::string();
-    };
-    event.requestId = headerValue(names.requestId);
-    event.host = headerValue("Host");
-    const auto key = headerValue(names.apiKey);
-    if (!key.empty())
-        event.key = digestOf(key);
-    event.deadline = parseMilliseconds(findHeader(request.headers, names.deadline));
-    if (event.deadline)
-        event.deadline = std::max(duration(0), *event.deadline - loop.pauseBefore());
-    const auto connectionHeader = headerValue("Connection");
-    std::erase_if(request.headers, [&](const header& each) {
-        for (const auto* name :
-            { &names.requestId, &names.deadline, &names.apiKey, &names.team, &names.endpoint, &names.callerService }) {
-            if (equalsIgnoreCase(each.name, *name))
-                return true;
-        }
-        return isHopByHop(each.name, connectionHeader);
-    });
-    event.content = std::move(request);
-    nodeMetrics.requestStarted(exchange, bootTime());
-    handle(std::move(event));
-}
-
-void mesh_daemon::state::runOnBackend(const mesh::run_on_backend& run)
-{
-    const auto& names = adapter.headers;
-    exchange_request request;
-    request.content = run.content;
-    auto& headers = request.content.headers;
-    std::vector<header> addedHeaders { { "Host", run.host }, { names.requestId, run.requestId },
-        { names.deadline, std::to_string(std::max<std::int64_t>(1, run.remaining.count() / 1000)) },
-        { names.endpoint, run.backendId }, { names.callerService, run.callerService } };
-    if (!run.team.empty())
-        addedHeaders.push_back({ names.team, run.team });
-    headers.insert(headers.begin(), addedHeaders.begin(), addedHeaders.end());
-    request.idHeader = names.requestId;
-    request.id = run.requestId;
-    const auto attempt = run.attempt;
-    const bool idempotent = run.idempotent;
-    exchangeByAttempt[attempt] = backendPool.start(
-        std::move(request), [this, attempt, idempotent](tl::expected<http_answer, exchange_failure> outcome) {
-            exchangeByAttempt.erase(attempt);
-            handleBackendOutcome(attempt, idempotent, std::move(outcome));
-        });
-}
-
-void mesh_daemon::state::handleBackendOutcome(
-    std::uint64_t attempt, bool idempotent, tl::expected<http_answer, exchange_failure> outcome)
-{
-    const auto& names = adapter.headers;
-    mesh::backend_result result { attempt, tl::unexpected(mesh::failure_kind::lost) };
-    if (!outcome) {
-        const bool noCapacity = outcome.error() == exchange_failure::noCapacity;
-        if (noCapacity || outcome.error() == exchange_failure::notSent) {
-            result.outcome = tl::unexpected(mesh::failure_kind::notExecuted);
-            handle(std::move(result));
-            if (noCapacity) {
-                logEvent({ "backend_connections_used", { { "attempt", std::to_string(attempt) } } });
-                return;
-            }
-            handle(mesh::backend_reachability { false });
-            probeBackend();
-            return;
-        }
-        handle(std::move(result));
-        return;
-    }
-    auto& response = *outcome;
-    const bool hasSignature = findHeader(response.headers, names.signature) != nullptr;
-    const bool rejected
-        = findHeader(response.headers, names.notExecuted) != nullptr || response.status == statusMisdirected;
-    // These statuses claim that the request was not executed, but a backend server may return them after executing it.
-    // Such a response is therefore not treated as a rejection, and for a non-idempotent request it counts as lost.
-    const bool claimsNotExecuted
-        = response.status == statusUnavailable || response.status == 429 || response.status == 408;
-    if (rejected)
-        result.outcome = tl::unexpected(mesh::failure_kind::rejected);
-    else if ((hasSignature || response.status >= firstNonSuccessStatus) && (idempotent || !claimsNotExecuted)) {
-        const auto* connectionHeader = findHeader(response.headers, "Connection");
-        const std::string connectionOptions = connectionHeader ? *connectionHeader : "";
-        std::erase_if(response.headers, [&](const header& each) { return isHopByHop(each.name, connectionOptions); });
-        result.outcome = std::move(response);
-    } else
-        logEvent({ "answer_unusable",
-            { { "attempt", std::to_string(attempt) }, { "status", std::to_string(response.status) },
-                { "signed", hasSignature ? "1" : "0" } } });
-    handle(std::move(result));
-}
-
-/// Probes the backend server's port at regular intervals until it accepts connections again.
-void mesh_daemon::state::probeBackend()
-{
-    if (probing)
-        return;
-    probing = true;
-    loop.callAt(bootTime() + probeInterval, [this] {
-        backendPool.probe([this](bool reachable) {
-            probing = false;
-            if (reachable)
-                handle(mesh::backend_reachability { true });
-            else
-                probeBackend();
-        });
-    });
-}
-
-void mesh_daemon::state::checkBackend(const std::string& healthPath)
-{
-    exchange_request request;
-    request.content.method = "GET";
-    request.content.path = healthPath;
-    request.content.headers = { { "Host", toText(settings.backendAddress) } };
-    request.timeout = healthCheckTimeout;
-    backendPool.start(std::move(request), [this](tl::expected<http_answer, exchange_failure> outcome) {
-        mesh::backend_check_result checked;
-        const auto* id = outcome ? findHeader(outcome->headers, adapter.headers.instanceId) : nullptr;
-        if (id)
-            checked.id = *id;
-        checked.healthy = outcome && outcome->status == statusOk;
-        handle(std::move(checked));
-    });
-}
-
-http_answer mesh_daemon::state::handleControl(const http_request& request)
-{
-    const auto notice = adapter.parseNotice(request);
-    if (!notice) {
-        logEvent({ "notice_rejected", { { "path", request.path }, { "reason", notice.error().message } } });
-        const bool unknown = notice.error().kind == error_kind::notFound;
-        return textResponse(unknown ? statusNotFound : statusBadRequest, notice.error().message + "\n");
-    }
-    std::visit([this](const auto& each) { handle(each); }, *notice);
-    http_answer response;
-    response.status = statusOk;
-    response.headers.push_back({ "Content-Type", "application/json" });
-    response.body = makeBytes("{}");
-    return response;
-}
-
-void mesh_daemon::state::applyConfiguration(const std::string& document)
-{
-    auto parsed = adapter.parseConfiguration(document);
-    if (!parsed) {
-        logEvent({ "configuration_rejected", { { "reason", parsed.error().message } } });
-        return;
-    }
-    if (parsed->version <= node.configurationVersion())
-        return;
-    auto index = std::make_shared<const mesh::configuration_index>(std::move(*parsed));
-    clientServer.setLimits(index->content().limits);
-    handle(mesh::configuration_received { std::move(index), document });
-    applyBackendLimit();
-}
-
-void mesh_daemon::state::tickRegistry()
-{
-    mesh::registry::outcome outcome;
-    registry.tick(bootTime(), outcome);
-    execute(outcome);
-}
-
-void mesh_daemon::state::execute(mesh::registry::outcome& outcome)
-{
-    for (auto& call : outcome.calls) {
-        const auto token = call.token;
-        nodeMetrics.countStoreCall();
-        store.call(std::move(call.operation), storeTimeout, [this, token](result<store_reply> reply) {
-            mesh::registry::outcome next;
-            registry.handle({ token, std::move(reply) }, bootTime(), next);
-            execute(next);
-        });
-    }
-    for (const auto& line : outcome.log)
-        logEvent(line);
-    if (outcome.document)
-        applyConfiguration(*outcome.document);
-    if (outcome.entries)
-        reportListedNodes(*outcome.entries);
-    if (outcome.watchFrom)
-        startWatch(*outcome.watchFrom);
-    loop.cancelTimer(registryTimer);
-    const auto next = registry.nextTimer();
-    if (next != time_point::max())
-        registryTimer = loop.callAt(next, [this] { tickRegistry(); });
-}
-
-void mesh_daemon::state::startWatch(store_revision from)
-{
-    if (watch)
-        store.unwatch(*watch);
-    watch = store.watch(adapter.configurationKey, from, [this](const store_watch_event& event) {
-        mesh::registry::outcome outcome;
-        if (const auto* changes = std::get_if<store_changes>(&event)) {
-            for (const auto& each : changes->changes) {
-                if (!each.erased && each.entry.key == adapter.configurationKey)
-                    registry.configurationChanged(each.entry.value, outcome);
-            }
-        } else {
-            watch.reset();
-            logEvent({ "watch_ended", {} });
-            registry.watchEnded(bootTime());
-        }
-        execute(outcome);
-    });
-}
-
-void mesh_daemon::state::reportListedNodes(const std::vector<std::string>& entries)
-{
-    mesh::nodes_listed listed;
-    for (const auto& each : entries) {
-        const auto end = each.find(entrySeparator);
-        auto address = parseAddress(std::string_view(each).substr(0, end));
-        if (address)
-            listed.nodes.push_back({ std::move(*address), end == std::string::npos ? "" : each.substr(end + 1) });
-        else
-            logEvent({ "entry_ignored", { { "reason", address.error().message } } });
-    }
-    handle(std::move(listed));
-}
-
 void mesh_daemon::state::quitWhenStopped()
 {
     const auto now = bootTime();
--- /dev/null
+++ b/src/libproxy/daemon_store.cpp
@@ -0,0 +1,93 @@
+// What the daemon reads from and writes to the store: the configuration, and the entries of the nodes.
+
+#include "daemon_state.h"
+
+namespace limpet::proxy {
+namespace {
+
+    constexpr duration storeTimeout = std::chrono::milliseconds(900);
+
+} // namespace
+
+void mesh_daemon::state::applyConfiguration(const std::string& document)
+{
+    auto parsed = adapter.parseConfiguration(document);
+    if (!parsed) {
+        logEvent({ "configuration_rejected", { { "reason", parsed.error().message } } });
+        return;
+    }
+    if (parsed->version <= node.configurationVersion())
+        return;
+    auto index = std::make_shared<const mesh::configuration_index>(std::move(*parsed));
+    clientServer.setLimits(index->content().limits);
+    handle(mesh::configuration_received { std::move(index), document });
+    applyBackendLimit();
+}
+
+void mesh_daemon::state::tickRegistry()
+{
+    mesh::registry::outcome outcome;
+    registry.tick(bootTime(), outcome);
+    execute(outcome);
+}
+
+void mesh_daemon::state::execute(mesh::registry::outcome& outcome)
+{
+    for (auto& call : outcome.calls) {
+        const auto token = call.token;
+        nodeMetrics.countStoreCall();
+        store.call(std::move(call.operation), storeTimeout, [this, token](result<store_reply> reply) {
+            mesh::registry::outcome next;
+            registry.handle({ token, std::move(reply) }, bootTime(), next);
+            execute(next);
+        });
+    }
+    for (const auto& line : outcome.log)
+        logEvent(line);
+    if (outcome.document)
+        applyConfiguration(*outcome.document);
+    if (outcome.entries)
+        reportListedNodes(*outcome.entries);
+    if (outcome.watchFrom)
+        startWatch(*outcome.watchFrom);
+    loop.cancelTimer(registryTimer);
+    const auto next = registry.nextTimer();
+    if (next != time_point::max())
+        registryTimer = loop.callAt(next, [this] { tickRegistry(); });
+}
+
+void mesh_daemon::state::startWatch(store_revision from)
+{
+    if (watch)
+        store.unwatch(*watch);
+    watch = store.watch(adapter.configurationKey, from, [this](const store_watch_event& event) {
+        mesh::registry::outcome outcome;
+        if (const auto* changes = std::get_if<store_changes>(&event)) {
+            for (const auto& each : changes->changes) {
+                if (!each.erased && each.entry.key == adapter.configurationKey)
+                    registry.configurationChanged(each.entry.value, outcome);
+            }
+        } else {
+            watch.reset();
+            logEvent({ "watch_ended", {} });
+            registry.watchEnded(bootTime());
+        }
+        execute(outcome);
+    });
+}
+
+void mesh_daemon::state::reportListedNodes(const std::vector<std::string>& entries)
+{
+    mesh::nodes_listed listed;
+    for (const auto& each : entries) {
+        const auto end = each.find(entrySeparator);
+        auto address = parseAddress(std::string_view(each).substr(0, end));
+        if (address)
+            listed.nodes.push_back({ std::move(*address), end == std::string::npos ? "" : each.substr(end + 1) });
+        else
+            logEvent({ "entry_ignored", { { "reason", address.error().message } } });
+    }
+    handle(std::move(listed));
+}
+
+} // namespace limpet::proxy
