--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -17,7 +17,6 @@
     constexpr duration avoidSuspected = std::chrono::seconds(3);
     // A retry after a failed response needs at least this fraction of the request's time to be useful.
     constexpr double minRetryTimeFraction = 0.3;
-    constexpr duration defaultRetryAfter = std::chrono::milliseconds(300);
     // Each lower rank of the root request and of its route halves the value of a retry, down to this rank.
     constexpr unsigned leastValuableRank = 2;
     // A retry because of silence may be needless, which makes it less valuable than one after a certain failure.
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -11,7 +11,7 @@
     constexpr unsigned nestedLevels = 4;
     constexpr unsigned rootLevels = highestPriority + 1 - nestedLevels;
 
-    constexpr duration defaultRetryAfter = std::chrono::milliseconds(300);
+    constexpr int tooManyRequests = 429;
 
     /// Orders requests by rank and, within a rank, those on a route of the highest rank before the others.
     unsigned importanceLevel(const tree_position& position)
@@ -115,7 +115,7 @@
         auto fields = rates.decisionInputs(kept.team, now);
         fields.insert(fields.begin(), { { "id", kept.request.requestId }, { "team", kept.team } });
         log(out, "rate_exceeded", std::move(fields));
-        answerWithRefusal(kept, refusal_reason::rateExceeded, rates.retryAfter(kept.team, now), now, out);
+        answerWithRefusal(kept, refusal_reason::rateExceeded, rates.retryAfter(kept.team), now, out);
         return;
     }
     urgentStatusDue = urgentStatusDue || rates.reportDue();
@@ -236,10 +236,9 @@
     const int status = httpStatus(reason);
     // Refusals with this status guarantee that the request was not executed.
     constexpr int unavailable = 503;
-    constexpr int tooMany = 429;
     if (status == unavailable && !call.team.empty())
         rates.refund(call.team);
-    if (status == unavailable || status == tooMany)
+    if (status == unavailable || status == tooManyRequests)
         ++counts.refused;
     else
         ++counts.failed;
@@ -260,7 +259,6 @@
     if (outcome == "answered" || outcome == "backend-failure")
         ++counts.answered;
     deadlines.erase({ call.deadline, id });
-    constexpr int tooManyRequests = 429;
     if (call.parent)
         tree.callFinished(*call.parent, call.matchedRoute->name,
             answer.status >= firstServerError || answer.status == tooManyRequests);
--- a/src/libmesh/mesh_fleet_test.cpp
+++ b/src/libmesh/mesh_fleet_test.cpp
@@ -110,19 +110,6 @@
     return admitted;
 }
 
-/// Maximum admissions in any 5 s window, the window of the bound on a team's rate.
-std::size_t maxAdmissionsInWindow(const std::vector<time_point>& admitted)
-{
-    std::size_t first = 0;
-    std::size_t most = 0;
-    for (std::size_t last = 0; last < admitted.size(); ++last) {
-        while (admitted[last] - admitted[first] > 5s)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 // A new backend server has no latency measurements yet. Nodes of its zone must still send it calls.
 TEST(fleet, joiningBackendServerGetsCallsOfOtherNodes)
 {
--- a/src/libmesh/mesh_large_fleet_test.cpp
+++ b/src/libmesh/mesh_large_fleet_test.cpp
@@ -84,14 +84,7 @@
             admitted.push_back(each.sent);
     }
     std::sort(admitted.begin(), admitted.end());
-    std::size_t first = 0;
-    std::size_t most = 0;
-    for (std::size_t last = 0; last < admitted.size(); ++last) {
-        while (admitted[last] - admitted[first] > 5s)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
+    return testing_support::maxAdmissionsInWindow(admitted);
 }
 
 class large_fleet_jump : public testing::TestWithParam<double> { };
--- a/src/libmesh/mesh_rate_scale_test.cpp
+++ b/src/libmesh/mesh_rate_scale_test.cpp
@@ -106,13 +106,7 @@
     const auto usual = admitted.size();
     const auto later = fleet.load(5.4 * rate, 6s);
     admitted.insert(admitted.end(), later.begin(), later.end());
-    std::size_t first = 0;
-    std::size_t most = 0;
-    for (std::size_t last = 0; last < admitted.size(); ++last) {
-        while (admitted[last] - admitted[first] > 5s)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
+    const auto most = maxAdmissionsInWindow(admitted);
     const double allowed = (rate * 5 + rate) * 1.1 + 20;
     std::cout << "most in 5 s: " << most << " of " << allowed
               << ", admitted before the jump: " << static_cast<double>(usual) / (0.6 * rate * 5) << '\n';
--- a/src/libmesh/mesh_sample_test.h
+++ b/src/libmesh/mesh_sample_test.h
@@ -137,4 +137,17 @@
 
 inline http_answer okAnswer(const std::string& body = "ok") { return { 200, {}, makeBytes(body) }; }
 
+/// Maximum admissions in any 5 s window, the window of the bound on a team's rate. admitted: in order of time.
+inline std::size_t maxAdmissionsInWindow(const std::vector<time_point>& admitted)
+{
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] > std::chrono::seconds(5))
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 } // namespace limpet::mesh::testing_support
--- a/src/libmesh/rate_limiter.cpp
+++ b/src/libmesh/rate_limiter.cpp
@@ -173,20 +173,6 @@
     return m_peers.empty() ? each.demand.estimate(now) : each.reportedDemand;
 }
 
-double distributed_rate_limiter::share(bucket& each, time_point now)
-{
-    if (isStarting(now))
-        return startingShare();
-    const double baseline = baselineDemand(each);
-    const double own = ownDemand(each, now) + baseline;
-    double all = own;
-    for (auto& [name, other] : m_peers) {
-        const auto found = other.teams.find(each.teamHash);
-        all += baseline + (found == other.teams.end() ? 0 : found->second.demand);
-    }
-    return own / all;
-}
-
 /// Returns the newest local demand as a multiple of the usual local demand, or of the mean per node if that is higher.
 double distributed_rate_limiter::demandSurge(bucket& each, time_point now) const
 {
@@ -233,7 +219,7 @@
     const double reachableFraction = 1 - unreachableDemand / demand;
     each.tokens += each.rate * reachableFraction * elapsed;
     each.fleetDemand = demand;
-    const double ownFraction = isStarting(now) ? startingShare() : own / demand;
+    each.share = isStarting(now) ? startingShare() : own / demand;
     // The cap is raised by the tokens that other nodes consumed but have not reported, which the replica still holds.
     each.tokens = std::min(each.burst * reachableFraction + each.expectedUnreported, each.tokens);
     // Shares saved by all nodes during a debt would be admitted at once at its end, and cause the next debt.
@@ -241,8 +227,8 @@
         each.shareTokens = 0;
         return;
     }
-    const double maxShareTokens = std::max(1.0, each.burst * ownFraction);
-    each.shareTokens = std::min(maxShareTokens, each.shareTokens + each.rate * ownFraction * elapsed);
+    const double maxShareTokens = std::max(1.0, each.burst * each.share);
+    each.shareTokens = std::min(maxShareTokens, each.shareTokens + each.rate * each.share * elapsed);
 }
 
 /// Whether the replica is so far in debt that this node admits nothing.
@@ -291,13 +277,13 @@
     found->second.tokens = std::min(found->second.burst, found->second.tokens + 1);
 }
 
-duration distributed_rate_limiter::retryAfter(const std::string& team, time_point now)
+duration distributed_rate_limiter::retryAfter(const std::string& team) const
 {
     const auto found = m_buckets.find(team);
     if (found == m_buckets.end())
         return duration(0);
-    auto& each = found->second;
-    const double ownRate = std::max(each.rate * share(each, now), 0.01);
+    const auto& each = found->second;
+    const double ownRate = std::max(each.rate * each.share, 0.01);
     const double debt = std::max(0.0, -each.tokens) / each.rate;
     const double wait = debt + std::max(0.0, 1 - each.shareTokens) / ownRate;
     return std::min(duration(std::llround(wait * 1e6)), maxRetryAfter);
--- a/src/libmesh/rate_limiter.h
+++ b/src/libmesh/rate_limiter.h
@@ -32,8 +32,8 @@
     bool admit(const std::string& team, time_point now);
     /// Refunds the token of an admitted request that was refused without being executed.
     void refund(const std::string& team);
-    /// Returns the delay after which a refused request of the team may be admitted.
-    duration retryAfter(const std::string& team, time_point now);
+    /// Returns the delay after which a request of the team that admit() has just refused may be admitted.
+    duration retryAfter(const std::string& team) const;
     /// Returns the inputs of the last decision about the team, as log fields.
     std::vector<std::pair<std::string, std::string>> decisionInputs(const std::string& team, time_point now) const;
     /// Merges the newest report of another node. The totals of a new run start from zero.
@@ -71,6 +71,7 @@
         double rate = 0;
         double burst = 0;
         double tokens = 0; ///< in this node's replica of the bucket; negative: debt
+        double share = 1; ///< this node's fraction of the fleet's demand, and thus of the team's rate
         double shareTokens = 0; ///< accumulated from this node's share of the rate
         double fleetDemand = 0; ///< requests per second over all nodes
         double expectedUnreported = 0; ///< expected admissions of other nodes since their reports
@@ -99,8 +100,6 @@
     double demandSurge(bucket& each, time_point now) const;
     static double expectedRate(const bucket& each, const peer_usage& use);
     void charge(bucket& each, const peer_usage& last, const team_report& report, duration silent, time_point now);
-    /// Returns this node's fraction of the fleet's demand, and thus of the team's rate.
-    double share(bucket& each, time_point now);
     double baselineDemand(const bucket& each) const;
     double ownDemand(bucket& each, time_point now) const;
     bool isStarting(time_point now) const;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -10,6 +10,8 @@
 
 namespace limpet::mesh {
 
+/// Retry-After of a refusal, at least.
+constexpr duration defaultRetryAfter = std::chrono::milliseconds(300);
 /// Link number of calls that originate at this node.
 constexpr std::uint64_t localLink = 0;
 /// Between two statuses of a node, including urgent ones.
