--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -86,195 +86,6 @@
     std::unordered_map<std::string, std::size_t> m_keys; ///< index in teams, by key digest
 };
 
-// ---- Fleet-wide rate limits ----
-
-/// Returns the hash that identifies a team in usage reports.
-std::uint32_t teamHash(std::string_view name);
-
-struct team_report {
-    std::uint32_t team = 0; ///< teamHash of its name
-    std::uint64_t admitted = 0; ///< total since the reporting node started
-    double demand = 0; ///< requests per second
-};
-
-/// Enforces the rate and burst of each team over all nodes, without a remote call per request.
-///
-/// Each node keeps a replica of the team's token bucket. Local admissions are deducted immediately, those of other
-/// nodes when their reports arrive. While the bucket is well filled, every request is admitted. Below that level a node
-/// admits its share of the rate, in proportion to its fraction of the demand, and nothing while the bucket is too far
-/// in debt. Reports carry running totals, so that a lost report only delays the update.
-class distributed_rate_limiter {
-public:
-    /// reportTimeout: a node without a report for this long is assumed to keep admitting its share.
-    explicit distributed_rate_limiter(duration reportTimeout);
-    void configure(const std::vector<team>& teams, time_point now);
-    /// Adds a request to the team's demand and returns whether it is admitted.
-    bool admit(const std::string& team, time_point now);
-    /// Refunds the token of an admitted request that was refused without being executed.
-    void refund(const std::string& team);
-    /// Returns the delay after which a refused request of the team may be admitted.
-    duration retryAfter(const std::string& team, time_point now);
-    /// Returns the inputs of the last decision about the team, as log fields.
-    std::vector<std::pair<std::string, std::string>> decisionInputs(const std::string& team, time_point now) const;
-    /// Merges the newest report of another node. The totals of a new run start from zero.
-    void mergeReports(
-        const std::string& node, std::uint64_t run, const std::vector<team_report>& reports, time_point now);
-    /// Drops the state of a node that has left the fleet.
-    void removeNode(const std::string& node);
-    /// Returns the reports of this node on the teams with recent requests.
-    std::vector<team_report> buildReports(time_point now);
-    /// Whether enough requests were admitted since the last report to send the next one early.
-    bool reportDue() const { return m_reportDue; }
-
-private:
-    struct demand_estimator {
-        double perSecond = 0; ///< smoothed demand
-        double count = 0; ///< requests in the current window
-        time_point windowStart {};
-        double shortWindowCount = 0; ///< requests in the current short window
-        double previousShortWindowCount = 0; ///< requests in the short window before it
-        time_point shortWindowStart {};
-        void add(time_point now);
-        /// Returns the demand in requests per second.
-        double estimate(time_point now);
-        /// Returns the newest demand as a multiple of the usual demand, which is taken as at least `usual` requests per
-        /// second; 1 unless it is clearly higher.
-        double surge(double usual, time_point now);
-
-    private:
-        void rollShortWindow(time_point now);
-    };
-    struct bucket {
-        double rate = 0;
-        double burst = 0;
-        double tokens = 0; ///< in this node's replica of the bucket; negative: debt
-        double shareTokens = 0; ///< accumulated from this node's share of the rate
-        double fleetDemand = 0; ///< requests per second over all nodes
-        double expectedUnreported = 0; ///< expected admissions of other nodes since their reports
-        time_point lastRefill {};
-        std::uint32_t teamHash = 0; ///< identifies the team in reports
-        std::uint64_t admitted = 0;
-        std::uint64_t reported = 0; ///< value of admitted in the last report
-        time_point lastRequest {};
-        demand_estimator demand;
-    };
-    struct peer_usage {
-        std::uint64_t admitted = 0;
-        double demand = 0; ///< requests per second
-        time_point reported {};
-        bool silenceCharged = false; ///< the expected use during its silence was deducted from this replica
-    };
-    struct peer {
-        std::uint64_t run = 0;
-        time_point lastSeen {};
-        std::unordered_map<std::uint32_t, peer_usage> teams;
-    };
-
-    void refill(bucket& each, time_point now);
-    double demandSurge(bucket& each, time_point now) const;
-    static double expectedRate(const bucket& each, const peer_usage& use);
-    void charge(bucket& each, const peer_usage& last, const team_report& report, duration silent, time_point now);
-    /// Returns this node's fraction of the fleet's demand, and thus of the team's rate.
-    double share(bucket& each, time_point now);
-    double baselineDemand(const bucket& each) const;
-
-    duration m_reportTimeout;
-    std::map<std::string, bucket> m_buckets;
-    std::unordered_map<std::uint32_t, std::string> m_teamByHash; ///< teams that have a bucket
-    std::map<std::string, peer> m_peers;
-    bool m_reportDue = false;
-};
-
-// ---- Retry budget ----
-
-/// Bounds the retries to a service. Each node earns tokens from its own first attempts and holds a fraction of the
-/// shared reserve, so that the sum over all nodes stays within the fleet-wide bound without coordination.
-class retry_budget {
-public:
-    /// tokensPerRequest: retries earned by each first attempt; reserve: retries available at the start. One more than
-    /// the reserve may accumulate, so that a reserve below 1 still allows a retry.
-    retry_budget(double tokensPerRequest, double reserve)
-        : m_tokensPerRequest(tokensPerRequest)
-        , m_reserve(reserve)
-    {
-    }
-    void setReserve(double reserve) { m_reserve = reserve; }
-    void addRequest(const std::string& service);
-    /// Consumes one retry and returns true if the budget holds one.
-    bool tryConsume(const std::string& service);
-
-private:
-    double m_tokensPerRequest;
-    double m_reserve;
-    std::unordered_map<std::string, double> m_tokens;
-};
-
-// ---- Backend servers and load balancing ----
-
-enum class endpoint_state : std::uint8_t {
-    ready,
-    draining, ///< receives no new calls
-    down, ///< refuses connections
-    absent, ///< the node has no local backend server
-};
-
-/// Load of one backend server, as reported by its node.
-struct endpoint_load {
-    unsigned running = 0;
-    unsigned queued = 0;
-    unsigned limit = 1; ///< concurrency limit
-    duration latency { 0 }; ///< recent mean; zero: unknown
-    double failureRate = 0; ///< recent fraction of failed calls
-};
-
-/// A node's local backend server, as seen by the fleet.
-struct endpoint {
-    std::string node;
-    std::uint64_t run = 0; ///< of the node
-    std::uint64_t sequence = 0; ///< of its newest status
-    socket_address address; ///< of the node, for links from other nodes
-    std::string region;
-    std::string availabilityZone;
-    std::string service;
-    std::string backendId;
-    endpoint_state state = endpoint_state::absent;
-    unsigned slots = 0;
-    time_point coldUntil {}; ///< end of the cold start, during which it is slow
-    bool leaving = false; ///< its node is shutting down
-    std::uint64_t configurationVersion = 0; ///< held by its node
-    endpoint_load load;
-    time_point lastSeen {};
-    std::string encodedStatus; ///< its newest status, as received
-    bool forwarded = false; ///< this node, as a relay, has passed encodedStatus on
-    unsigned sentSinceReport = 0; ///< calls sent there since its last load report
-    time_point avoidUntil {}; ///< no new calls until then; set after a broken or unresponsive link
-};
-
-struct load_balancing_options {
-    duration statusTimeout = std::chrono::milliseconds(1800); ///< endpoints without a status for this long are skipped
-    duration otherZonePenalty
-        = std::chrono::milliseconds(130); ///< for another availability zone of the region: traffic is billed
-    duration otherRegionPenalty
-        = std::chrono::milliseconds(350); ///< for another region: round trip, and billed traffic
-    duration otherRegionStatusTimeout
-        = std::chrono::milliseconds(3500); ///< longer, since relays forward the statuses of other regions
-    duration defaultLatency = std::chrono::milliseconds(150); ///< of endpoints without measurements
-};
-
-/// Returns the estimated cost of a call to the endpoint: distance, service time, and queueing delay caused by load.
-duration endpointCost(const endpoint& candidate, const std::string& region, const std::string& zone,
-    const load_balancing_options& options, time_point now);
-
-struct endpoint_candidate {
-    endpoint* target = nullptr;
-    duration cost { 0 };
-};
-
-/// Chooses at random among the endpoints in the availability zone of the cheapest one, weighted towards cheaper and
-/// larger endpoints. Randomization keeps nodes with the same load reports from all choosing the same endpoint.
-/// draw: random number in [0, 1). Returns nullptr without candidates.
-endpoint* chooseEndpoint(const std::vector<endpoint_candidate>& candidates, double draw);
-
 // ---- Registration in the store ----
 
 /// Maintains a node's entry in the store under a lease, and reads the list of nodes and the configuration. Performs no
@@ -338,6 +149,18 @@
 
 // ---- The node ----
 
+struct load_balancing_options {
+    duration statusTimeout = std::chrono::milliseconds(1800); ///< endpoints without a status for this long are skipped
+    duration otherZonePenalty
+        = std::chrono::milliseconds(130); ///< for another availability zone of the region: traffic is billed
+    duration otherRegionPenalty
+        = std::chrono::milliseconds(350); ///< for another region: round trip, and billed traffic
+    duration otherRegionStatusTimeout
+        = std::chrono::milliseconds(3500); ///< longer, since relays forward the statuses of other regions
+    duration defaultLatency = std::chrono::milliseconds(150); ///< of endpoints without measurements
+    double usualFailureRate = 0; ///< of the service; failures that all endpoints share give no reason to avoid one
+};
+
 struct node_options {
     std::string name;
     std::uint64_t run = 0; ///< incarnation of the node's process; must exceed that of any earlier one
@@ -360,7 +183,11 @@
     duration trustAfter = std::chrono::milliseconds(5500);
     double retryRatio = 0.2; ///< bound on the retries to a service, as a fraction of its requests
     double retryReserve = 50; ///< additional retries that the bound allows, over all nodes together
+    duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
     double usableSlotFraction = 0.94; ///< many backend servers slow down when all slots are busy
+    /// Whether retries and queues distinguish the call trees that nested calls belong to. false is the baseline for
+    /// comparison: nested calls are all alike, and a failed tree is retried from its root.
+    bool treeAware = true;
     load_balancing_options loadBalancing;
 };
 
@@ -505,6 +332,7 @@
     std::size_t callsInFlight = 0; ///< client requests without a response
     std::size_t running = 0; ///< calls at the local backend server
     std::size_t queued = 0; ///< calls for the local backend server
+    unsigned concurrencyLimit = 0; ///< of the calls at the local backend server
     std::size_t peers = 0;
     std::size_t livePeers = 0; ///< with a recent status
     std::uint64_t configurationVersion = 0;
--- a/src/include/limpetcroft/policy.h
+++ b/src/include/limpetcroft/policy.h
@@ -136,6 +136,22 @@
     window_totals m_window;
 };
 
+/// Limit at the number of slots, for a backend server that may never respond to a request for which it has no room.
+/// Silence (a timeout) lowers the limit, but not below a quarter of the slots, since it may have another cause;
+/// successes restore it.
+class slot_limit {
+public:
+    /// slots: above 0.
+    explicit slot_limit(unsigned slots);
+    unsigned allowed() const;
+    void record(const limit_sample& sample, time_point now);
+
+private:
+    double m_slots;
+    double m_limit;
+    time_point m_loweredAt {};
+};
+
 /// Baseline for comparison: a limit that never changes.
 struct fixed_limit {
     unsigned limit = 20;
@@ -144,7 +160,7 @@
 /// Baseline for comparison: no limit.
 struct unlimited_limit { };
 
-using concurrency_limit = std::variant<vegas_limit, fixed_limit, unlimited_limit>;
+using concurrency_limit = std::variant<vegas_limit, slot_limit, fixed_limit, unlimited_limit>;
 
 /// Number of requests that may be in flight at once.
 unsigned allowed(const concurrency_limit& limit);
--- /dev/null
+++ b/src/libmesh/attempts.cpp
@@ -0,0 +1,272 @@
+// Attempts of client requests: their outcomes, and retries at other backend servers.
+
+#include "state.h"
+#include <algorithm>
+#include <cmath>
+
+namespace limpet::mesh {
+namespace {
+
+    // Number of nodes that may refuse a request before the client is told to retry later.
+    constexpr unsigned maxNodeRefusals = 3;
+    // Number of times that one request is sent. Each resend after a rejection is also taken from the retry budget.
+    constexpr unsigned maxSends = 10;
+    // A node whose link broke gets no new calls for this long.
+    constexpr duration avoidAfterDisconnect = std::chrono::milliseconds(700);
+    // A node that does not respond over its link gets no new calls for this long, unless it responds earlier.
+    constexpr duration avoidSuspected = std::chrono::seconds(3);
+    // A retry after a failed response needs at least this fraction of the request's time to be useful.
+    constexpr double minRetryTimeFraction = 0.3;
+    constexpr duration defaultRetryAfter = std::chrono::milliseconds(300);
+    // Each lower rank of the root request and of its route halves the value of a retry, down to this rank.
+    constexpr unsigned leastValuableRank = 2;
+    // A retry because of silence may be needless, which makes it less valuable than one after a certain failure.
+    constexpr double silentRetryValue = 0.5;
+    // An attempt counts as silent after this multiple of the usual latency of its route, and time for this multiple is
+    // left for the retry.
+    constexpr int silentLatencies = 3;
+    constexpr int reservedLatencies = 2;
+    // Weight of one response in the mean latency of a route.
+    constexpr double routeLatencyWeight = 0.1;
+
+} // namespace
+
+/// Whether the route allows the call to reach a backend server that it has not reached yet. pending: number of backend
+/// servers that it is about to reach already.
+bool node::state::mayReachAnother(const ingress_call& call, std::size_t pending) const
+{
+    return call.reached.size() + pending < call.matchedRoute->maxAttempts;
+}
+
+/// Whether the call may be sent once more to a backend server that rejected it. The route limits the number of backend
+/// servers, not of sends, and a rejection may concern only part of the requests.
+bool node::state::mayResend(const ingress_call& call) const
+{
+    return options.treeAware && !call.rejectedBy.empty() && call.sends < maxSends;
+}
+
+/// Ends the attempt and returns its call, or nullptr if the call no longer waits for it.
+ingress_call* node::state::endAttempt(std::uint64_t attempt)
+{
+    const auto found = callByAttempt.find(attempt);
+    if (found == callByAttempt.end())
+        return nullptr;
+    auto& call = calls.at(found->second);
+    callByAttempt.erase(found);
+    call.attempt = 0;
+    if (call.impatientAt != time_point::max())
+        impatience.erase({ std::exchange(call.impatientAt, time_point::max()), call.request.call });
+    return &call;
+}
+
+/// Returns the benefit of a retry relative to that of others: by the importance of the root request and by the number
+/// of calls that its tree still needs after this one.
+double node::state::retryValue(const ingress_call& call) const
+{
+    if (!options.treeAware)
+        return 1;
+    const auto doublings
+        = [](std::uint8_t rank) { return leastValuableRank - std::min<unsigned>(rank, leastValuableRank); };
+    const unsigned weight = 1U << (doublings(call.position.rootRank) + doublings(call.position.rootRouteRank));
+    return weight / tree.remainingCalls(call.parent, call.matchedRoute->name);
+}
+
+/// Handles the response of a backend server. failedBelow: it failed because of a nested call, which was retried where
+/// it failed; repeating the whole tree would cost more and rarely succeed.
+void node::state::attemptAnswered(
+    std::uint64_t attempt, http_answer answer, bool failedBelow, time_point now, actions& out)
+{
+    auto* call = endAttempt(attempt);
+    if (!call)
+        return;
+    call->reached.insert(call->targetNode);
+    const bool failed = answer.status >= firstServerError;
+    if (!failed)
+        recordRouteLatency(call->matchedRoute->name, now - call->sentAt);
+    const bool ownFailure = options.treeAware ? !failedBelow : call->importance != highestPriority;
+    const auto left = call->queueUntil - now;
+    const bool inTime
+        = left.count() > minRetryTimeFraction * static_cast<double>((call->queueUntil - call->arrived).count());
+    if (failed && ownFailure && call->matchedRoute->idempotent && mayReachAnother(*call) && inTime
+        && retries.tryConsume(call->service, retryValue(*call), now)) {
+        log(out, "repeat",
+            { { "id", call->request.requestId }, { "at", call->targetNode },
+                { "status", std::to_string(answer.status) }, { "after_ms", milliseconds(now - call->sentAt) },
+                { "service", call->service } });
+        ++counts.retries;
+        call->fallback = std::move(answer);
+        send(*call, now, out);
+        return;
+    }
+    deliver(*call, std::move(answer), failed ? "backend-failure" : "answered", now, out);
+}
+
+void node::state::attemptFailed(
+    std::uint64_t attempt, failure_kind kind, duration retryAfter, time_point now, actions& out)
+{
+    auto* call = endAttempt(attempt);
+    if (!call)
+        return;
+    const bool arrived = kind != failure_kind::notExecuted;
+    if (arrived)
+        call->reached.insert(call->targetNode);
+    else
+        ++call->refusals;
+    if (kind == failure_kind::rejected)
+        call->rejectedBy.insert(call->targetNode);
+    else if (arrived)
+        call->rejectedBy.erase(call->targetNode);
+    call->retryAfter = retryAfter;
+    const bool certainlyNotExecuted = kind == failure_kind::notExecuted || kind == failure_kind::rejected;
+    const bool mayRetry = certainlyNotExecuted || call->matchedRoute->idempotent;
+    bool allowed = now < call->deadline && mayRetry;
+    if (arrived)
+        allowed = allowed && (mayReachAnother(*call) || mayResend(*call))
+            && retries.tryConsume(call->service, retryValue(*call), now);
+    else
+        allowed = allowed && call->refusals < maxNodeRefusals;
+    log(out, allowed ? "repeat" : "attempt_failed",
+        { { "id", call->request.requestId }, { "at", call->targetNode },
+            { "kind", std::to_string(static_cast<int>(kind)) }, { "after_ms", milliseconds(now - call->sentAt) },
+            { "service", call->service }, { "reached", std::to_string(call->reached.size()) },
+            { "refusals", std::to_string(call->refusals) }, { "root_rank", std::to_string(call->position.rootRank) },
+            { "finished", std::to_string(call->position.finishedCalls) },
+            { "retry_value", std::to_string(retryValue(*call)) } });
+    if (allowed) {
+        counts.retries += arrived ? 1 : 0;
+        send(*call, now, out);
+        return;
+    }
+    if (call->fallback) {
+        deliver(*call, std::move(*call->fallback), "backend-failure", now, out);
+        return;
+    }
+    if (certainlyNotExecuted) {
+        answerWithRefusal(*call, refusal_reason::overloaded, std::max(retryAfter, defaultRetryAfter), now, out);
+        return;
+    }
+    const bool timedOut = kind == failure_kind::timeout;
+    answerWithRefusal(
+        *call, timedOut ? refusal_reason::deadlineExceeded : refusal_reason::connectionLost, duration(0), now, out);
+}
+
+/// Fails all attempts at a node whose link broke, or that restarted or was removed. kind is notExecuted if the link was
+/// never established, since nothing was sent then.
+void node::state::failAttemptsAt(const std::string& nodeName, failure_kind kind, time_point now, actions& out)
+{
+    std::vector<std::uint64_t> lostAttempts;
+    for (const auto& [attempt, id] : callByAttempt) {
+        if (calls.at(id).targetNode == nodeName)
+            lostAttempts.push_back(attempt);
+    }
+    std::sort(lostAttempts.begin(), lostAttempts.end());
+    const auto peer = peers.find(nodeName);
+    if (peer != peers.end())
+        peer->second.avoidUntil = now + avoidAfterDisconnect;
+    for (const auto attempt : lostAttempts)
+        attemptFailed(attempt, kind, duration(0), now, out);
+}
+
+/// Sends no new calls to the node and retries its idempotent ones elsewhere. The link stays open for now, since the
+/// node may just be slow.
+void node::state::suspectLink(const link_suspected& event, time_point now, actions& out)
+{
+    auto* peer = peerByAddress(event.peer);
+    if (!peer)
+        return;
+    log(out, event.suspected ? "peer_suspected" : "peer_reacts",
+        { { "peer", peer->node }, { "heard_ms", milliseconds(now - peer->lastSeen) } });
+    peer->avoidUntil = event.suspected ? now + avoidSuspected : time_point {};
+    if (!event.suspected)
+        return;
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [attempt, id] : callByAttempt) {
+        if (calls.at(id).targetNode == peer->node)
+            waiting.push_back(id);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto id : waiting)
+        retryElsewhere(calls.at(id), 1, "suspected", now, out);
+}
+
+/// Sends a call that waits for a response to another backend server. value: of the retry, as a factor.
+void node::state::retryElsewhere(
+    ingress_call& call, double value, std::string_view reason, time_point now, actions& out)
+{
+    const bool allowed = call.matchedRoute->idempotent && mayReachAnother(call, 1) && now < call.queueUntil;
+    if (!allowed || !selectEndpoint(call, now) || !retries.tryConsume(call.service, value * retryValue(call), now))
+        return;
+    log(out, "repeat",
+        { { "id", call.request.requestId }, { "at", call.targetNode }, { "reason", std::string(reason) },
+            { "after_ms", milliseconds(now - call.sentAt) }, { "service", call.service } });
+    call.reached.insert(call.targetNode);
+    ++counts.retries;
+    abandonAttempt(call, now, out);
+    send(call, now, out);
+}
+
+void node::state::recordRouteLatency(const std::string& route, duration elapsed)
+{
+    const auto sample = static_cast<double>(elapsed.count());
+    auto& mean = routeLatency.try_emplace(route, sample).first->second;
+    mean += routeLatencyWeight * (sample - mean);
+}
+
+/// Determines when the attempt that is being sent has waited so long that another backend server would probably answer
+/// sooner, and still within the target latency. A full or failing backend server may never respond; a slow one reports
+/// its latency.
+void node::state::startImpatience(ingress_call& call, const endpoint& target)
+{
+    const auto known = routeLatency.find(call.matchedRoute->name);
+    const bool mayRetry = options.treeAware && call.matchedRoute->idempotent && mayReachAnother(call, 1);
+    if (!mayRetry || known == routeLatency.end() || call.matchedRoute->targetLatency <= duration(0))
+        return;
+    const auto usual = duration(std::llround(known->second));
+    const auto explained = silentLatencies * std::max(usual, target.load.latency);
+    const auto wait = std::max(call.queueUntil - reservedLatencies * usual, call.sentAt + explained);
+    if (wait + usual > call.queueUntil)
+        return;
+    call.impatientAt = wait;
+    impatience.emplace(wait, call.request.call);
+}
+
+void node::state::retrySilentAttempts(time_point now, actions& out)
+{
+    while (!impatience.empty() && impatience.begin()->first <= now) {
+        auto& call = calls.at(impatience.begin()->second);
+        impatience.erase(impatience.begin());
+        call.impatientAt = time_point::max();
+        // Without the attempts given up, the mean would only cover the fast ones while a service turns slow.
+        recordRouteLatency(call.matchedRoute->name, now - call.sentAt);
+        retryElsewhere(call, silentRetryValue, "silent", now, out);
+    }
+}
+
+void node::state::cancelAttempt(ingress_call& call, actions& out)
+{
+    if (call.attempt == 0)
+        return;
+    const auto attempt = call.attempt;
+    const auto targetNode = call.targetNode;
+    endAttempt(attempt);
+    const auto peer = peers.find(targetNode);
+    if (peer == peers.end())
+        return;
+    wire::frame_data frame;
+    frame.cancel = std::make_unique<wire::call_cancel_data>();
+    frame.cancel->id = attempt;
+    out.emplace_back(send_frame { peer->second.address, encodeFrame(frame), -1 });
+}
+
+/// Cancels the attempt in flight at the node that has it, which may be this one.
+void node::state::abandonAttempt(ingress_call& call, time_point now, actions& out)
+{
+    const auto attempt = call.attempt;
+    const bool isLocal = call.targetNode == options.name;
+    cancelAttempt(call, out);
+    // The attempt has ended for this call, so that cancelling its execution does not affect the response.
+    if (isLocal && attempt != 0)
+        cancelServing({ localLink, attempt }, now, out);
+}
+
+} // namespace limpet::mesh
--- a/src/libmesh/codec.cpp
+++ b/src/libmesh/codec.cpp
@@ -61,13 +61,14 @@
     packed.limit = load.limit;
     packed.latency_us = static_cast<std::uint64_t>(load.latency.count());
     packed.failure_permille = static_cast<std::uint16_t>(load.failureRate * perMille);
+    packed.arrivals_per_s = static_cast<float>(load.arrivalsPerSecond);
     return packed;
 }
 
 endpoint_load unpackLoad(const wire::load_report_data& load)
 {
     return { load.running, load.queued, std::max(load.limit, 1U), duration(load.latency_us),
-        load.failure_permille / perMille };
+        load.failure_permille / perMille, std::max(load.arrivals_per_s, 0.0F) };
 }
 
 header_rows packHeaders(const std::vector<header>& headers)
--- a/src/libmesh/codec.h
+++ b/src/libmesh/codec.h
@@ -2,8 +2,8 @@
 
 // Encoding of the messages between nodes.
 
+#include "load_balancing.h"
 #include "mesh_generated.h"
-#include <limpetcroft/mesh.h>
 
 namespace limpet::mesh {
 
--- a/src/libmesh/dissemination.cpp
+++ b/src/libmesh/dissemination.cpp
@@ -163,6 +163,8 @@
     const bool urgent = urgentStatusDue && now - lastStatusAt >= minStatusInterval;
     if (!urgent && now < nextStatusAt)
         return;
+    silentFraction = measureSilence(now);
+    updateServiceLoads(now);
     const auto bytes = ownStatus(false, now);
     for (const auto* each : statusReceivers(now))
         out.emplace_back(send_status { each->address, bytes });
--- a/src/libmesh/load_balancing.cpp
+++ b/src/libmesh/load_balancing.cpp
@@ -1,6 +1,6 @@
+#include "load_balancing.h"
 #include <algorithm>
 #include <cmath>
-#include <limpetcroft/mesh.h>
 
 namespace limpet::mesh {
 namespace {
@@ -14,8 +14,10 @@
     // of the limit. The mean latency does not show the queueing delay above it, since important calls overtake others.
     constexpr double spilloverFraction = 0.85;
     constexpr duration spilloverPenalty = std::chrono::milliseconds(400);
-    // Cost of the failure rate in multiples of the latency: a failed call is wasted work.
+    // Cost of the failure rate: a failed call is wasted work, in multiples of the latency, and its call tree fails too
+    // or takes one of the few retries, which is worth a longer way however fast the call fails.
     constexpr double failureWeight = 6;
+    constexpr duration failurePenalty = std::chrono::milliseconds(500);
     // A queue longer than this multiple of the limit is about to refuse calls. An endpoint with capacity is better at
     // any distance.
     constexpr double longQueueFraction = 0.8;
@@ -39,10 +41,12 @@
         multiple += congestionWeight * (std::min(utilization, 1.0) - uncongestedFraction) / (1 - uncongestedFraction);
     if (utilization > 1)
         multiple += utilization - 1;
-    multiple += failureWeight * candidate.load.failureRate;
+    const double failures = std::max(0.0, candidate.load.failureRate - options.usualFailureRate);
+    multiple += failureWeight * failures;
     if (candidate.coldUntil > now)
         multiple += coldWeight;
     auto cost = duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * multiple));
+    cost += duration(static_cast<std::int64_t>(static_cast<double>(failurePenalty.count()) * failures));
     if (utilization > spilloverFraction)
         cost += duration(static_cast<std::int64_t>(
             static_cast<double>(spilloverPenalty.count()) * (utilization - spilloverFraction)));
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -47,7 +47,7 @@
         answer.status = frame.answer->status;
         answer.headers = unpackHeaders(std::move(frame.answer->headers));
         answer.body = makeBytes(std::move(frame.answer->body));
-        attemptAnswered(frame.answer->id, std::move(answer), now, out);
+        attemptAnswered(frame.answer->id, std::move(answer), frame.answer->failed_below, now, out);
     }
     if (frame.failure) {
         updateLoad(frame.failure->load);
--- a/src/libmesh/mesh_backend_test.cpp
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -1,7 +1,7 @@
 // Guards the tracking of the local backend server by heartbeats and health checks, and that a draining one gets no new
 // calls.
 
-#include "mesh_sample_test.h"
+#include "mesh_peers_test.h"
 
 using namespace limpet;
 using namespace limpet::mesh;
@@ -135,6 +135,53 @@
     EXPECT_EQ(fixture.take<run_on_backend>().size(), 40U);
 }
 
+// The registry's backend servers never respond when they are full. After a restart of its node, one with 14 slots got
+// up to 45 calls at once.
+TEST(backend, slotsOfItsServiceAreAssumedUntilItsOwnAreKnown)
+{
+    node_with_peers fixture("stock", "stock");
+    fixture.handle(backend_check_result { "i-1", true });
+    for (int count = 0; count < 120; ++count)
+        fixture.request();
+    EXPECT_LE(fixture.take<run_on_backend>().size(), 9U);
+}
+
+// A full backend server stays silent. Its node must send it less, report the silence to the others, and recover.
+TEST(backend, silenceLowersTheLimitAndIsReported)
+{
+    node_fixture fixture;
+    auto config = sampleConfiguration();
+    for (auto& each : config.routes) {
+        each.timeout = each.targetLatency = 60s;
+        each.maxAttempts = 1;
+    }
+    fixture.configure(config);
+    fixture.addBackend("i-1", 20);
+    const auto answerAll = [&] {
+        for (const auto& each : fixture.take<run_on_backend>())
+            fixture.handle(backend_result { each.attempt, okAnswer() });
+    };
+    for (int round = 0; round < 30; ++round) {
+        fixture.request();
+        fixture.now += 100ms;
+        answerAll();
+    }
+    for (int round = 0; round < 4; ++round) {
+        const auto silent = fixture.request();
+        fixture.now += 2s;
+        fixture.handle(client_disconnected { silent });
+    }
+    EXPECT_LE(fixture.subject.statistics(fixture.now).concurrencyLimit, 9U);
+    EXPECT_GE(fixture.subject.statistics(fixture.now).concurrencyLimit, 4U);
+    fixture.out.clear();
+    for (int round = 0; round < 60; ++round) {
+        fixture.request();
+        fixture.now += 100ms;
+        answerAll();
+    }
+    EXPECT_EQ(fixture.subject.statistics(fixture.now).concurrencyLimit, 18U);
+}
+
 // The first heartbeat reports the slots; calls that already run must count against them.
 TEST(backend, runningCallsCountAgainstSlotsReportedLater)
 {
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -184,6 +184,7 @@
   uint32_t limit = 0;
   uint64_t latency_us = 0;
   uint16_t failure_permille = 0;
+  float arrivals_per_s = 0.0f;
 };
 
 struct load_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -194,7 +195,8 @@
     VT_QUEUED = 6,
     VT_LIMIT = 8,
     VT_LATENCY_US = 10,
-    VT_FAILURE_PERMILLE = 12
+    VT_FAILURE_PERMILLE = 12,
+    VT_ARRIVALS_PER_S = 14
   };
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
@@ -211,6 +213,9 @@
   uint16_t failure_permille() const {
     return GetField<uint16_t>(VT_FAILURE_PERMILLE, 0);
   }
+  float arrivals_per_s() const {
+    return GetField<float>(VT_ARRIVALS_PER_S, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
@@ -218,6 +223,7 @@
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyField<uint64_t>(verifier, VT_LATENCY_US, 8) &&
            VerifyField<uint16_t>(verifier, VT_FAILURE_PERMILLE, 2) &&
+           VerifyField<float>(verifier, VT_ARRIVALS_PER_S, 4) &&
            verifier.EndTable();
   }
   load_report_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -244,6 +250,9 @@
   void add_failure_permille(uint16_t failure_permille) {
     fbb_.AddElement<uint16_t>(load_report::VT_FAILURE_PERMILLE, failure_permille, 0);
   }
+  void add_arrivals_per_s(float arrivals_per_s) {
+    fbb_.AddElement<float>(load_report::VT_ARRIVALS_PER_S, arrivals_per_s, 0.0f);
+  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -261,9 +270,11 @@
     uint32_t queued = 0,
     uint32_t limit = 0,
     uint64_t latency_us = 0,
-    uint16_t failure_permille = 0) {
+    uint16_t failure_permille = 0,
+    float arrivals_per_s = 0.0f) {
   load_reportBuilder builder_(_fbb);
   builder_.add_latency_us(latency_us);
+  builder_.add_arrivals_per_s(arrivals_per_s);
   builder_.add_limit(limit);
   builder_.add_queued(queued);
   builder_.add_running(running);
@@ -289,6 +300,11 @@
   bool idempotent = false;
   int64_t remaining_us = 0;
   int64_t queue_us = 0;
+  uint8_t root_rank = 255;
+  uint8_t root_route_rank = 255;
+  uint8_t finished_calls = 0;
+  float remaining_calls = 1.0f;
+  bool retried = false;
   call_request_data() = default;
   call_request_data(const call_request_data &o);
   call_request_data(call_request_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -312,7 +328,12 @@
     VT_IMPORTANCE = 24,
     VT_IDEMPOTENT = 26,
     VT_REMAINING_US = 28,
-    VT_QUEUE_US = 30
+    VT_QUEUE_US = 30,
+    VT_ROOT_RANK = 32,
+    VT_ROOT_ROUTE_RANK = 34,
+    VT_FINISHED_CALLS = 36,
+    VT_REMAINING_CALLS = 38,
+    VT_RETRIED = 40
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -356,6 +377,21 @@
   int64_t queue_us() const {
     return GetField<int64_t>(VT_QUEUE_US, 0);
   }
+  uint8_t root_rank() const {
+    return GetField<uint8_t>(VT_ROOT_RANK, 255);
+  }
+  uint8_t root_route_rank() const {
+    return GetField<uint8_t>(VT_ROOT_ROUTE_RANK, 255);
+  }
+  uint8_t finished_calls() const {
+    return GetField<uint8_t>(VT_FINISHED_CALLS, 0);
+  }
+  float remaining_calls() const {
+    return GetField<float>(VT_REMAINING_CALLS, 1.0f);
+  }
+  bool retried() const {
+    return GetField<uint8_t>(VT_RETRIED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -382,6 +418,11 @@
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
            VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
            VerifyField<int64_t>(verifier, VT_QUEUE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ROOT_RANK, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ROOT_ROUTE_RANK, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FINISHED_CALLS, 1) &&
+           VerifyField<float>(verifier, VT_REMAINING_CALLS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_RETRIED, 1) &&
            verifier.EndTable();
   }
   call_request_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -435,6 +476,21 @@
   void add_queue_us(int64_t queue_us) {
     fbb_.AddElement<int64_t>(call_request::VT_QUEUE_US, queue_us, 0);
   }
+  void add_root_rank(uint8_t root_rank) {
+    fbb_.AddElement<uint8_t>(call_request::VT_ROOT_RANK, root_rank, 255);
+  }
+  void add_root_route_rank(uint8_t root_route_rank) {
+    fbb_.AddElement<uint8_t>(call_request::VT_ROOT_ROUTE_RANK, root_route_rank, 255);
+  }
+  void add_finished_calls(uint8_t finished_calls) {
+    fbb_.AddElement<uint8_t>(call_request::VT_FINISHED_CALLS, finished_calls, 0);
+  }
+  void add_remaining_calls(float remaining_calls) {
+    fbb_.AddElement<float>(call_request::VT_REMAINING_CALLS, remaining_calls, 1.0f);
+  }
+  void add_retried(bool retried) {
+    fbb_.AddElement<uint8_t>(call_request::VT_RETRIED, static_cast<uint8_t>(retried), 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -461,11 +517,17 @@
     uint8_t importance = 0,
     bool idempotent = false,
     int64_t remaining_us = 0,
-    int64_t queue_us = 0) {
+    int64_t queue_us = 0,
+    uint8_t root_rank = 255,
+    uint8_t root_route_rank = 255,
+    uint8_t finished_calls = 0,
+    float remaining_calls = 1.0f,
+    bool retried = false) {
   call_requestBuilder builder_(_fbb);
   builder_.add_queue_us(queue_us);
   builder_.add_remaining_us(remaining_us);
   builder_.add_id(id);
+  builder_.add_remaining_calls(remaining_calls);
   builder_.add_caller_service(caller_service);
   builder_.add_team(team);
   builder_.add_body(body);
@@ -475,6 +537,10 @@
   builder_.add_method(method);
   builder_.add_request_id(request_id);
   builder_.add_service(service);
+  builder_.add_retried(retried);
+  builder_.add_finished_calls(finished_calls);
+  builder_.add_root_route_rank(root_route_rank);
+  builder_.add_root_rank(root_rank);
   builder_.add_idempotent(idempotent);
   builder_.add_importance(importance);
   return builder_.Finish();
@@ -495,7 +561,12 @@
     uint8_t importance = 0,
     bool idempotent = false,
     int64_t remaining_us = 0,
-    int64_t queue_us = 0) {
+    int64_t queue_us = 0,
+    uint8_t root_rank = 255,
+    uint8_t root_route_rank = 255,
+    uint8_t finished_calls = 0,
+    float remaining_calls = 1.0f,
+    bool retried = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -520,7 +591,12 @@
       importance,
       idempotent,
       remaining_us,
-      queue_us);
+      queue_us,
+      root_rank,
+      root_route_rank,
+      finished_calls,
+      remaining_calls,
+      retried);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_data *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -532,6 +608,7 @@
   std::vector<std::unique_ptr<limpet::mesh::wire::header_entry_data>> headers{};
   std::string body{};
   std::unique_ptr<limpet::mesh::wire::load_report_data> load{};
+  bool failed_below = false;
   call_answer_data() = default;
   call_answer_data(const call_answer_data &o);
   call_answer_data(call_answer_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -546,7 +623,8 @@
     VT_STATUS = 6,
     VT_HEADERS = 8,
     VT_BODY = 10,
-    VT_LOAD = 12
+    VT_LOAD = 12,
+    VT_FAILED_BELOW = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -563,6 +641,9 @@
   const limpet::mesh::wire::load_report *load() const {
     return GetPointer<const limpet::mesh::wire::load_report *>(VT_LOAD);
   }
+  bool failed_below() const {
+    return GetField<uint8_t>(VT_FAILED_BELOW, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -574,6 +655,7 @@
            verifier.VerifyString(body()) &&
            VerifyOffset(verifier, VT_LOAD) &&
            verifier.VerifyTable(load()) &&
+           VerifyField<uint8_t>(verifier, VT_FAILED_BELOW, 1) &&
            verifier.EndTable();
   }
   call_answer_data *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -600,6 +682,9 @@
   void add_load(flatbuffers::Offset<limpet::mesh::wire::load_report> load) {
     fbb_.AddOffset(call_answer::VT_LOAD, load);
   }
+  void add_failed_below(bool failed_below) {
+    fbb_.AddElement<uint8_t>(call_answer::VT_FAILED_BELOW, static_cast<uint8_t>(failed_below), 0);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -617,13 +702,15 @@
     uint16_t status = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<limpet::mesh::wire::header_entry>>> headers = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0,
-    flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0) {
+    flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
+    bool failed_below = false) {
   call_answerBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_load(load);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_status(status);
+  builder_.add_failed_below(failed_below);
   return builder_.Finish();
 }
 
@@ -633,7 +720,8 @@
     uint16_t status = 0,
     const std::vector<flatbuffers::Offset<limpet::mesh::wire::header_entry>> *headers = nullptr,
     const char *body = nullptr,
-    flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0) {
+    flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
+    bool failed_below = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::header_entry>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
   return limpet::mesh::wire::Createcall_answer(
@@ -642,7 +730,8 @@
       status,
       headers__,
       body__,
-      load);
+      load,
+      failed_below);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_data *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1593,6 +1682,7 @@
   { auto _e = limit(); _o->limit = _e; }
   { auto _e = latency_us(); _o->latency_us = _e; }
   { auto _e = failure_permille(); _o->failure_permille = _e; }
+  { auto _e = arrivals_per_s(); _o->arrivals_per_s = _e; }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_report_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1608,13 +1698,15 @@
   auto _limit = _o->limit;
   auto _latency_us = _o->latency_us;
   auto _failure_permille = _o->failure_permille;
+  auto _arrivals_per_s = _o->arrivals_per_s;
   return limpet::mesh::wire::Createload_report(
       _fbb,
       _running,
       _queued,
       _limit,
       _latency_us,
-      _failure_permille);
+      _failure_permille,
+      _arrivals_per_s);
 }
 
 inline call_request_data::call_request_data(const call_request_data &o)
@@ -1630,7 +1722,12 @@
         importance(o.importance),
         idempotent(o.idempotent),
         remaining_us(o.remaining_us),
-        queue_us(o.queue_us) {
+        queue_us(o.queue_us),
+        root_rank(o.root_rank),
+        root_route_rank(o.root_route_rank),
+        finished_calls(o.finished_calls),
+        remaining_calls(o.remaining_calls),
+        retried(o.retried) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new limpet::mesh::wire::header_entry_data(*headers_) : nullptr); }
 }
@@ -1650,6 +1747,11 @@
   std::swap(idempotent, o.idempotent);
   std::swap(remaining_us, o.remaining_us);
   std::swap(queue_us, o.queue_us);
+  std::swap(root_rank, o.root_rank);
+  std::swap(root_route_rank, o.root_route_rank);
+  std::swap(finished_calls, o.finished_calls);
+  std::swap(remaining_calls, o.remaining_calls);
+  std::swap(retried, o.retried);
   return *this;
 }
 
@@ -1676,6 +1778,11 @@
   { auto _e = idempotent(); _o->idempotent = _e; }
   { auto _e = remaining_us(); _o->remaining_us = _e; }
   { auto _e = queue_us(); _o->queue_us = _e; }
+  { auto _e = root_rank(); _o->root_rank = _e; }
+  { auto _e = root_route_rank(); _o->root_route_rank = _e; }
+  { auto _e = finished_calls(); _o->finished_calls = _e; }
+  { auto _e = remaining_calls(); _o->remaining_calls = _e; }
+  { auto _e = retried(); _o->retried = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1700,6 +1807,11 @@
   auto _idempotent = _o->idempotent;
   auto _remaining_us = _o->remaining_us;
   auto _queue_us = _o->queue_us;
+  auto _root_rank = _o->root_rank;
+  auto _root_route_rank = _o->root_route_rank;
+  auto _finished_calls = _o->finished_calls;
+  auto _remaining_calls = _o->remaining_calls;
+  auto _retried = _o->retried;
   return limpet::mesh::wire::Createcall_request(
       _fbb,
       _id,
@@ -1715,14 +1827,20 @@
       _importance,
       _idempotent,
       _remaining_us,
-      _queue_us);
+      _queue_us,
+      _root_rank,
+      _root_route_rank,
+      _finished_calls,
+      _remaining_calls,
+      _retried);
 }
 
 inline call_answer_data::call_answer_data(const call_answer_data &o)
       : id(o.id),
         status(o.status),
         body(o.body),
-        load((o.load) ? new limpet::mesh::wire::load_report_data(*o.load) : nullptr) {
+        load((o.load) ? new limpet::mesh::wire::load_report_data(*o.load) : nullptr),
+        failed_below(o.failed_below) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new limpet::mesh::wire::header_entry_data(*headers_) : nullptr); }
 }
@@ -1733,6 +1851,7 @@
   std::swap(headers, o.headers);
   std::swap(body, o.body);
   std::swap(load, o.load);
+  std::swap(failed_below, o.failed_below);
   return *this;
 }
 
@@ -1750,6 +1869,7 @@
   { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<limpet::mesh::wire::header_entry_data>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<limpet::mesh::wire::load_report_data>(_e->UnPack(_resolver)); }
+  { auto _e = failed_below(); _o->failed_below = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_data* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1765,13 +1885,15 @@
   auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<limpet::mesh::wire::header_entry>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return Createheader_entry(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
   auto _load = _o->load ? Createload_report(_fbb, _o->load.get(), _rehasher) : 0;
+  auto _failed_below = _o->failed_below;
   return limpet::mesh::wire::Createcall_answer(
       _fbb,
       _id,
       _status,
       _headers,
       _body,
-      _load);
+      _load,
+      _failed_below);
 }
 
 inline call_failure_data::call_failure_data(const call_failure_data &o)
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -4,16 +4,30 @@
 namespace limpet::mesh {
 namespace {
 
-    // Fraction of the fleet-wide retry bound that is used. A retried request makes its nested calls again, which count
-    // as retries at the services that it calls.
-    constexpr double usedRetryFraction = 0.5;
+    // Fractions of the fleet-wide retry bound that are used: of its ratio, and of its reserve. The rest covers nested
+    // calls of retried executions whose parent is not recognized, and the one retry that each node may hold.
+    constexpr double usedRatio = 0.9;
+    constexpr double initialReserve = 0.4;
+    constexpr double storedReserve = 0.4;
+    constexpr double recurringReserve = 0.4;
+    // Without knowledge of the call trees, all nested calls of retried executions must be covered.
+    constexpr double usedFractionWithoutTrees = 0.5;
+
+    retry_budget::options retryOptions(const node_options& options)
+    {
+        if (!options.treeAware)
+            return { options.retryRatio * usedFractionWithoutTrees, options.retryReserve * usedFractionWithoutTrees };
+        const double window = std::chrono::duration<double>(options.retryWindow).count();
+        return { options.retryRatio * usedRatio, options.retryReserve * initialReserve,
+            options.retryReserve * storedReserve, options.retryReserve * recurringReserve / window };
+    }
 
 } // namespace
 
 node::state::state(node_options given)
     : options(std::move(given))
     , rates(options.loadBalancing.otherRegionStatusTimeout)
-    , retries(options.retryRatio * usedRetryFraction, 1)
+    , retries(retryOptions(options))
     , random(options.seed)
 {
     self.node = options.name;
@@ -73,10 +87,11 @@
 void node::state::tick(time_point now, actions& out)
 {
     expireCalls(now, out);
+    retrySilentAttempts(now, out);
     if (now >= servingDeadline())
         refuseQueued(refusal_reason::draining, now, out);
     applyAdmission(admissionControl.expire(now), now, out);
-    retries.setReserve(usedRetryFraction * options.retryReserve / static_cast<double>(peers.size() + 1));
+    retries.setNodeCount(peers.size() + 1);
     checkCandidate(now, out);
     expirePeers(now, out);
     pullConfiguration(now, out);
@@ -90,6 +105,8 @@
     auto next = std::min(nextStatusAt, nextBundleAt);
     if (!deadlines.empty())
         next = std::min(next, deadlines.begin()->first);
+    if (!impatience.empty())
+        next = std::min(next, impatience.begin()->first);
     if (const auto admissionTimer = admissionControl.nextTimer())
         next = std::min(next, *admissionTimer);
     if (urgentStatusDue)
@@ -133,6 +150,7 @@
     counts.callsInFlight = m_state->calls.size();
     counts.running = m_state->admissionControl.inFlight();
     counts.queued = m_state->admissionControl.queued();
+    counts.concurrencyLimit = m_state->admissionControl.limit();
     counts.peers = m_state->peers.size();
     counts.livePeers = static_cast<std::size_t>(std::count_if(m_state->peers.begin(), m_state->peers.end(),
         [&](const auto& each) { return m_state->isLive(each.second, now); }));
--- a/src/libmesh/rate_limiter.cpp
+++ b/src/libmesh/rate_limiter.cpp
@@ -1,6 +1,6 @@
+#include "rate_limiter.h"
 #include <algorithm>
 #include <cmath>
-#include <limpetcroft/mesh.h>
 #include <xxhash.h>
 
 // All nodes together may admit burst + rate * t in a window of length t. Their share tokens keep this bound: together
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -1,4 +1,4 @@
-// The local backend server: admission control, execution of calls, heartbeats and drain.
+// Calls to the local backend server: admission control and execution.
 
 #include "state.h"
 #include <algorithm>
@@ -10,21 +10,16 @@
     // Weights of one call in the moving averages of latency and failure rate.
     constexpr double latencyWeight = 0.1;
     constexpr double failureWeight = 0.05;
-    // Slots assumed until the first heartbeat, which is at most one heartbeat interval after a restart of the node. A
-    // smaller backend server refuses the excess itself and reports that it was not executed.
+    // Failure of a call whose nested call failed: another backend server often makes the same nested calls.
+    constexpr double failureBelow = 0.5;
+    // Slots assumed until the first heartbeat if no other node has reported any for this service.
     constexpr unsigned defaultSlots = 48;
-    constexpr int firstServerError = 500;
+    // A call is silent after this multiple of the mean latency.
+    constexpr double silentLatencies = 6;
+    constexpr duration minSilence = std::chrono::milliseconds(250);
 
     request_id admissionId(std::uint64_t serving) { return { 0, serving }; }
 
-    admission makeAdmission(unsigned slots, double usableFraction)
-    {
-        admission_options options;
-        const auto limit = static_cast<unsigned>(std::floor((slots == 0 ? defaultSlots : slots) * usableFraction));
-        options.limit = fixed_limit { std::max(limit, 1U) };
-        return admission(options);
-    }
-
     admission_request makeAdmissionRequest(std::uint64_t servingId, const serving_call& call, duration remaining)
     {
         admission_request request;
@@ -32,31 +27,42 @@
         request.context.team = call.content.team;
         request.context.importance = call.content.importance;
         request.context.remaining = remaining;
+        // Calls of nearly complete trees come first among those of the same importance.
+        request.context.depth = call.content.finished_calls;
         return request;
     }
 
 } // namespace
 
-/// Returns the time from which calls that have not started are refused.
-time_point node::state::servingDeadline() const
+endpoint_load node::state::ownLoad() const
 {
-    return backend.draining ? backend.drainStartedAt + options.drainTime - options.drainMargin : time_point::max();
+    return { static_cast<unsigned>(admissionControl.inFlight()), static_cast<unsigned>(admissionControl.queued()),
+        admissionControl.limit(), duration(std::llround(latency)), std::max(failureRate, silentFraction),
+        arrivals.lastPerSecond() };
 }
 
-bool node::state::canServe(time_point now) const
+/// Whether a running call has waited for its response for longer than the latency of the service explains. A backend
+/// server that has no room for a request may never respond to it.
+bool node::state::isSilent(const serving_call& call, time_point now) const
 {
-    return !backend.id.empty() && backend.reachable && now < servingDeadline();
+    return call.started && call.generation == backend.generation && latency > 0
+        && now - call.startedAt > std::max(minSilence, duration(std::llround(silentLatencies * latency)));
 }
 
-endpoint_load node::state::ownLoad() const
+/// Returns the silent fraction of the running calls.
+double node::state::measureSilence(time_point now) const
 {
-    return { static_cast<unsigned>(admissionControl.inFlight()), static_cast<unsigned>(admissionControl.queued()),
-        admissionControl.limit(), duration(std::llround(latency)), failureRate };
+    if (admissionControl.inFlight() == 0)
+        return 0;
+    const auto silent
+        = std::count_if(serving.begin(), serving.end(), [&](const auto& each) { return isSilent(each.second, now); });
+    return static_cast<double>(silent) / static_cast<double>(admissionControl.inFlight());
 }
 
 void node::state::serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out)
 {
     const serving_key key { link, call.id };
+    arrivals.add(now);
     if (!canServe(now) || !acceptsRequests(now) || call.service != self.service) {
         log(out, "call_refused",
             { { "id", call.request_id }, { "reason", "no-backend-server" }, { "wanted", call.service },
@@ -81,7 +87,9 @@
 void node::state::offer(std::uint64_t servingId, time_point now, actions& out)
 {
     const auto& call = serving.at(servingId);
-    const auto queueTime = duration(std::min(call.content.queue_us, call.content.remaining_us));
+    // The calls that its parent makes one after the other share the time that is left for all of them.
+    const auto shared = static_cast<double>(call.content.remaining_us) / std::max(call.content.remaining_calls, 1.0F);
+    const auto queueTime = std::min(duration(call.content.queue_us), duration(std::llround(shared)));
     auto decision
         = admissionControl.offer(makeAdmissionRequest(servingId, call, queueTime - (now - call.arrived)), now);
     if (decision.verdict == admission_verdict::run)
@@ -109,6 +117,8 @@
     run.content.headers = unpackHeaders(std::move(call.content.headers));
     run.content.body = makeBytes(std::move(call.content.body));
     run.remaining = call.deadline - now;
+    tree.executionStarted(servingId, run.requestId, call.deadline,
+        { call.content.root_rank, call.content.root_route_rank, call.content.finished_calls, call.content.retried });
     run.idempotent = call.content.idempotent;
     out.emplace_back(std::move(run));
 }
@@ -161,10 +171,11 @@
     out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
 }
 
-void node::state::recordOutcome(bool failed, duration elapsed)
+/// failure: 0 for a success, up to 1.
+void node::state::recordOutcome(double failure, duration elapsed)
 {
-    failureRate += failureWeight * ((failed ? 1.0 : 0.0) - failureRate);
-    if (failed)
+    failureRate += failureWeight * (failure - failureRate);
+    if (failure > 0)
         return;
     const auto sample = static_cast<double>(elapsed.count());
     latency += latency == 0 ? sample : latencyWeight * (sample - latency);
@@ -180,15 +191,17 @@
     const auto elapsed = now - call.startedAt;
     const bool current = call.generation == backend.generation;
     const bool failed = !result.outcome || result.outcome->status >= firstServerError;
+    const bool failedBelow = failed && options.treeAware && tree.failedBelow(result.attempt);
     if (current)
-        recordOutcome(failed, elapsed);
+        recordOutcome(failedBelow ? failureBelow : failed ? 1 : 0, elapsed);
+    tree.executionEnded(result.attempt, !failed);
     if (!result.outcome)
         log(out, "call_failed",
             { { "id", call.content.request_id }, { "kind", std::to_string(static_cast<int>(result.outcome.error())) },
                 { "backend", backend.id }, { "ms", milliseconds(elapsed) } });
     removeServing(result.attempt);
     if (result.outcome && key.link == localLink)
-        attemptAnswered(key.id, std::move(*result.outcome), now, out);
+        attemptAnswered(key.id, std::move(*result.outcome), failedBelow, now, out);
     else if (result.outcome) {
         wire::frame_data frame;
         frame.answer = std::make_unique<wire::call_answer_data>();
@@ -197,6 +210,7 @@
         frame.answer->headers = packHeaders(result.outcome->headers);
         if (result.outcome->body)
             frame.answer->body = *result.outcome->body;
+        frame.answer->failed_below = failedBelow;
         frame.answer->load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
         out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
     } else
@@ -217,17 +231,18 @@
     const bool started = call.started;
     const bool current = call.generation == backend.generation;
     const auto elapsed = now - call.startedAt;
-    const bool overdue = started && now >= call.deadline;
+    const bool overdue = started && (now >= call.deadline || isSilent(call, now));
     removeServing(servingId);
     if (!started) {
         admissionControl.cancel(admissionId(servingId));
         return;
     }
+    tree.executionEnded(servingId, false);
     out.emplace_back(cancel_on_backend { servingId });
     if (!current)
         return;
     if (overdue)
-        recordOutcome(true, elapsed);
+        recordOutcome(1, elapsed);
     applyAdmission(admissionControl.finish(
                        admissionId(servingId), overdue ? call_outcome::timeout : call_outcome::cancelled, elapsed, now),
         now, out);
@@ -258,125 +273,31 @@
     }
 }
 
-/// Heartbeats are ordered by start time, then by sequence number. The start time of a backend server that was
-/// discovered by a health check is not known yet.
-void node::state::handleHeartbeat(const backend_heartbeat& report, time_point now, actions& out)
-{
-    const bool same
-        = report.id == backend.id && (report.startTimeMs == backend.startTimeMs || backend.startTimeMs == 0);
-    const bool stale = same ? report.sequence <= backend.sequence : report.startTimeMs < backend.startTimeMs;
-    if (stale) {
-        log(out, "heartbeat_ignored",
-            { { "backend", report.id }, { "born", std::to_string(report.startTimeMs) },
-                { "sequence", std::to_string(report.sequence) }, { "known", backend.id },
-                { "known_born", std::to_string(backend.startTimeMs) } });
-        return;
-    }
-    if (!same) {
-        considerCandidate(report, now, out);
-        return;
-    }
-    if (self.slots != report.slots) {
-        self.slots = report.slots;
-        resizeAdmission(report.slots, now, out);
-        urgentStatusDue = true;
-    }
-    backend.startTimeMs = report.startTimeMs;
-    backend.sequence = report.sequence;
-    backend.reachable = true;
-    self.coldUntil = now + report.coldRemaining;
-    if (report.draining && !backend.draining)
-        startBackendDrain(now, out);
-}
-
-/// Handles a heartbeat of a backend server that this process has not used yet. It may be a delayed heartbeat of one
-/// that has announced its drain to an earlier process of this node, so a health check must succeed first.
-void node::state::considerCandidate(const backend_heartbeat& report, time_point now, actions& out)
-{
-    const bool known
-        = candidate.report && candidate.report->id == report.id && candidate.report->startTimeMs == report.startTimeMs;
-    if (known && report.sequence <= candidate.report->sequence)
-        return;
-    if (!known) {
-        candidate.firstReportedAt = now;
-        candidate.checks = 0;
-        candidate.checkAt = now;
-    }
-    candidate.report = report;
-    const bool trusted = now - candidate.firstReportedAt >= options.trustAfter;
-    if (report.draining || trusted) {
-        replaceBackend(report, now, out);
-        return;
-    }
-    checkCandidate(now, out);
-}
-
-/// Checks the backend server that is not in use yet. At process start, this also discovers one without a heartbeat.
-void node::state::checkCandidate(time_point now, actions& out)
-{
-    constexpr unsigned maxDiscoveryChecks = 10;
-    if (now < candidate.checkAt || !config)
-        return;
-    const auto* serviceConfig = config->findService(candidate.report ? candidate.report->service : options.service);
-    const bool wanted = candidate.report || (backend.id.empty() && candidate.checks < maxDiscoveryChecks);
-    if (!wanted || !serviceConfig || serviceConfig->healthPath.empty()) {
-        candidate.checkAt = time_point::max();
-        return;
-    }
-    candidate.checkAt = time_point::max();
-    ++candidate.checks;
-    out.emplace_back(check_backend { serviceConfig->healthPath });
-}
-
-void node::state::handleCheckResult(const backend_check_result& checked, time_point now, actions& out)
+/// Returns the slots assumed while the local backend server has not reported them: the least of its service.
+unsigned node::state::assumedSlots() const
 {
-    const bool matchesCandidate
-        = candidate.report ? checked.id == candidate.report->id : backend.id.empty() && !checked.id.empty();
-    if (checked.healthy && matchesCandidate) {
-        backend_heartbeat report;
-        report.id = checked.id;
-        report.service = options.service;
-        replaceBackend(candidate.report.value_or(report), now, out);
-        return;
+    unsigned least = 0;
+    for (const auto& [name, peer] : peers) {
+        if (peer.service == self.service && peer.slots > 0)
+            least = least == 0 ? peer.slots : std::min(least, peer.slots);
     }
-    log(out, "backend_unconfirmed",
-        { { "stated", candidate.report ? candidate.report->id : "" }, { "found", checked.id },
-            { "healthy", checked.healthy ? "1" : "0" }, { "checks", std::to_string(candidate.checks) } });
-    candidate.checkAt = now + options.healthCheckInterval;
+    return least == 0 ? defaultSlots : least;
 }
 
-void node::state::replaceBackend(const backend_heartbeat& report, time_point now, actions& out)
+/// Starts with an empty queue and a limit for that many slots; 0: unknown.
+void node::state::resetAdmission(unsigned slots)
 {
-    log(out, "backend_joined",
-        { { "backend", report.id }, { "service", report.service }, { "slots", std::to_string(report.slots) },
-            { "born", std::to_string(report.startTimeMs) }, { "sequence", std::to_string(report.sequence) },
-            { "before", backend.id } });
-    refuseQueued(refusal_reason::noBackendServer, now, out);
-    const auto generation = backend.generation + 1;
-    backend = {};
-    backend.id = report.id;
-    backend.startTimeMs = report.startTimeMs;
-    backend.sequence = report.sequence;
-    backend.generation = generation;
-    candidate = {};
-    candidate.checkAt = time_point::max();
-    self.backendId = report.id;
-    self.service = report.service;
-    self.slots = report.slots;
-    self.coldUntil = now + report.coldRemaining;
-    admissionControl = makeAdmission(report.slots, options.usableSlotFraction);
-    latency = 0;
-    failureRate = 0;
-    urgentStatusDue = true;
-    if (report.draining)
-        startBackendDrain(now, out);
+    const double usable = options.usableSlotFraction * (slots == 0 ? assumedSlots() : slots);
+    admission_options admissionOptions;
+    admissionOptions.limit = slot_limit(static_cast<unsigned>(std::max(1.0, std::floor(usable))));
+    admissionControl = admission(admissionOptions);
 }
 
 /// Applies a changed number of slots. Running calls count against the new limit; those beyond it are not offered, since
 /// admission control would queue and start them a second time.
 void node::state::resizeAdmission(unsigned slots, time_point now, actions& out)
 {
-    admissionControl = makeAdmission(slots, options.usableSlotFraction);
+    resetAdmission(slots);
     std::vector<std::uint64_t> waiting;
     for (const auto& [servingId, call] : serving) {
         if (!call.started)
@@ -390,24 +311,4 @@
         offer(servingId, now, out);
 }
 
-void node::state::startBackendDrain(time_point now, actions& out)
-{
-    backend.draining = true;
-    backend.drainStartedAt = now;
-    urgentStatusDue = true;
-    log(out, "backend_leaving",
-        { { "backend", backend.id }, { "running", std::to_string(admissionControl.inFlight()) },
-            { "queued", std::to_string(admissionControl.queued()) } });
-}
-
-void node::state::handleDeregistration(const std::string& id, time_point now, actions& out)
-{
-    if (id == backend.id && !backend.draining)
-        startBackendDrain(now, out);
-    if (candidate.report && candidate.report->id == id) {
-        candidate = {};
-        candidate.checkAt = time_point::max();
-    }
-}
-
 } // namespace limpet::mesh
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -2,8 +2,11 @@
 
 // Internal state of a mesh node, shared by its source files.
 
+#include "call_tree.h"
 #include "codec.h"
-#include <limpetcroft/mesh.h>
+#include "rate_estimator.h"
+#include "rate_limiter.h"
+#include "retry_budget.h"
 
 namespace limpet::mesh {
 
@@ -23,15 +26,20 @@
     std::string team;
     std::string service;
     priority importance = lowestPriority;
+    tree_position position;
+    std::optional<std::uint64_t> parent; ///< execution of the local backend server that made it, if it is known
     time_point arrived {};
     time_point deadline {};
     time_point queueUntil {}; ///< deadline, or end of the target latency if earlier; bounds queueing and retries
     std::set<std::string> tried; ///< nodes it was sent to
-    unsigned reached = 0; ///< number of backend servers that may have received it
+    std::set<std::string> reached; ///< nodes whose backend servers may have received it
+    std::set<std::string> rejectedBy; ///< those of them that rejected it without executing it
+    unsigned sends = 0;
     unsigned refusals = 0; ///< by nodes, without reaching a backend server
     std::uint64_t attempt = 0; ///< attempt in flight; 0: none
     std::string targetNode; ///< of the newest attempt
     time_point sentAt {};
+    time_point impatientAt = time_point::max(); ///< when the attempt in flight is sent elsewhere if it has no response
     duration retryAfter { 0 }; ///< of the newest failed attempt
     std::optional<http_answer>
         fallback; ///< failed response of a backend server, delivered if the retry yields nothing better
@@ -92,21 +100,33 @@
     random_source random;
     node_statistics counts;
 
-    // ---- Client requests (ingress.cpp) ----
+    // ---- Client requests (ingress.cpp, placement.cpp, attempts.cpp) ----
     std::unordered_map<std::uint64_t, ingress_call> calls;
     std::unordered_map<std::uint64_t, std::uint64_t> callByAttempt;
     std::set<std::pair<time_point, std::uint64_t>> deadlines;
+    std::set<std::pair<time_point, std::uint64_t>> impatience; ///< of the calls with an attempt in flight
     std::unordered_map<std::string, std::vector<double>> serviceCredit; ///< by route
+    std::unordered_map<std::string, double> routeLatency; ///< recent mean of successes in microseconds, by route
     std::uint64_t nextAttempt = 1;
 
     void accept(client_request request, time_point now, actions& out);
     void cancelClientCall(std::uint64_t call, time_point now, actions& out);
     void send(ingress_call& call, time_point now, actions& out);
     void expireCalls(time_point now, actions& out);
-    void attemptAnswered(std::uint64_t attempt, http_answer answer, time_point now, actions& out);
+    void attemptAnswered(std::uint64_t attempt, http_answer answer, bool failedBelow, time_point now, actions& out);
     void attemptFailed(std::uint64_t attempt, failure_kind kind, duration retryAfter, time_point now, actions& out);
     void suspectLink(const link_suspected& event, time_point now, actions& out);
-    void retryElsewhere(ingress_call& call, time_point now, actions& out);
+    void retryElsewhere(ingress_call& call, double value, std::string_view reason, time_point now, actions& out);
+    void retrySilentAttempts(time_point now, actions& out);
+    void startImpatience(ingress_call& call, const endpoint& target);
+    void recordRouteLatency(const std::string& route, duration elapsed);
+    double retryValue(const ingress_call& call) const;
+    bool mayReachAnother(const ingress_call& call, std::size_t pending = 0) const;
+    bool mayResend(const ingress_call& call) const;
+    double fleetArrivals(const std::string& service) const;
+    void updateServiceLoads(time_point now);
+    void placeInTree(ingress_call& call, const team* owner, time_point now) const;
+    void abandonAttempt(ingress_call& call, time_point now, actions& out);
     void failAttemptsAt(const std::string& nodeName, failure_kind kind, time_point now, actions& out);
     const std::string& chooseService(const route& matchedRoute);
     duration expectedLatency(const std::string& service) const;
@@ -117,15 +137,18 @@
         ingress_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out);
     void deliver(ingress_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out);
 
-    // ---- The local backend server (serving.cpp) ----
+    // ---- The local backend server (serving.cpp, backend.cpp) ----
     local_backend backend;
     backend_candidate candidate;
     admission admissionControl;
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingByKey;
     std::uint64_t nextServingId = 1;
+    call_tree tree;
     double latency = 0; ///< recent mean in microseconds; 0: unknown
     double failureRate = 0; ///< recent fraction of failed calls
+    double silentFraction = 0; ///< of the running calls, when the last status was sent
+    rate_estimator arrivals; ///< of calls, including those refused
 
     void serve(std::uint64_t link, wire::call_request_data call, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
@@ -144,11 +167,15 @@
     void handleCheckResult(const backend_check_result& checked, time_point now, actions& out);
     void replaceBackend(const backend_heartbeat& report, time_point now, actions& out);
     void startBackendDrain(time_point now, actions& out);
+    void resetAdmission(unsigned slots);
     void resizeAdmission(unsigned slots, time_point now, actions& out);
+    unsigned assumedSlots() const;
+    bool isSilent(const serving_call& call, time_point now) const;
+    double measureSilence(time_point now) const;
     void refuseQueued(refusal_reason reason, time_point now, actions& out);
     bool canServe(time_point now) const;
     time_point servingDeadline() const;
-    void recordOutcome(bool failed, duration elapsed);
+    void recordOutcome(double failure, duration elapsed);
     endpoint_load ownLoad() const;
     void removeServing(std::uint64_t servingId);
 
@@ -165,6 +192,13 @@
     bool urgentStatusDue = false; ///< a change that other nodes need to know immediately
     time_point lastStatusAt {};
     std::uint64_t statusSequence = 0;
+    /// Of all backend servers of a service.
+    struct service_load {
+        double arrivalsPerSecond = 0; ///< calls
+        double failureRate = 0; ///< mean of the backend servers
+        unsigned servers = 0;
+    };
+    std::unordered_map<std::string, service_load> serviceLoads;
     std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
     time_point nextPullAt {};
 
@@ -202,6 +236,9 @@
     out.emplace_back(log_event { std::move(name), std::move(fields) });
 }
 
+/// Responses with this status or a higher one are failures of a backend server.
+constexpr int firstServerError = 500;
+
 inline std::string milliseconds(duration value) { return std::to_string(value.count() / 1000); }
 
 } // namespace limpet::mesh
--- a/src/libpolicy/limit.cpp
+++ b/src/libpolicy/limit.cpp
@@ -69,6 +69,11 @@
     /// fault.
     constexpr double shedLimitFloor = 0.5;
 
+    /// Change of a slot limit at each timeout and, as a fraction of the slots, at each success.
+    constexpr double silenceFactor = 0.8;
+    constexpr double slotGrowthFraction = 0.02;
+    constexpr double minSlotFraction = 0.25;
+
     template <class... Visitors> struct overloaded_visitor : Visitors... {
         using Visitors::operator()...;
     };
@@ -347,10 +352,30 @@
     setLimit(accepted);
 }
 
+slot_limit::slot_limit(unsigned slots)
+    : m_slots(slots)
+    , m_limit(slots)
+{
+}
+
+unsigned slot_limit::allowed() const { return static_cast<unsigned>(std::max(1.0, std::floor(m_limit))); }
+
+void slot_limit::record(const limit_sample& sample, time_point now)
+{
+    if (sample.outcome == call_outcome::success)
+        m_limit = std::min(m_slots, m_limit + m_slots * slotGrowthFraction);
+    // Calls that were sent together fall silent together and count once.
+    if (sample.outcome != call_outcome::timeout || now - m_loweredAt < sample.latency)
+        return;
+    m_loweredAt = now;
+    m_limit = std::max(m_slots * minSlotFraction, m_limit * silenceFactor);
+}
+
 unsigned allowed(const concurrency_limit& limit)
 {
     return std::visit(overloaded_visitor {
                           [](const vegas_limit& vegas) { return vegas.allowed(); },
+                          [](const slot_limit& slots) { return slots.allowed(); },
                           [](const fixed_limit& fixed) { return fixed.limit; },
                           [](const unlimited_limit&) { return std::numeric_limits<unsigned>::max(); },
                       },
@@ -361,6 +386,8 @@
 {
     if (auto* vegas = std::get_if<vegas_limit>(&limit))
         vegas->record(sample, now);
+    if (auto* slots = std::get_if<slot_limit>(&limit))
+        slots->record(sample, now);
 }
 
 void announceSlots(concurrency_limit& limit, unsigned slots)
--- a/src/libpolicy/policy_limit_test.cpp
+++ b/src/libpolicy/policy_limit_test.cpp
@@ -144,6 +144,25 @@
         }));
     }
 
+    // Guards against a limit that one slow reaction of many calls, or a server that is silent for another reason,
+    // lowers to nothing, and one that stays low afterwards.
+    TEST(slotLimit, followsSilenceWithinItsBounds)
+    {
+        slot_limit limit(20);
+        time_point now { seconds(10) };
+        for (int call = 0; call < 10; ++call)
+            limit.record({ call_outcome::timeout, seconds(1), 20 }, now);
+        EXPECT_EQ(limit.allowed(), 16U);
+        for (int round = 0; round < 30; ++round) {
+            now += seconds(2);
+            limit.record({ call_outcome::timeout, seconds(1), limit.allowed() }, now);
+        }
+        EXPECT_EQ(limit.allowed(), 5U);
+        for (int call = 0; call < 60; ++call)
+            limit.record({ call_outcome::success, milliseconds(50), limit.allowed() }, now);
+        EXPECT_EQ(limit.allowed(), 20U);
+    }
+
     // Guards against baselines that adapt to samples, which would invalidate comparisons with them.
     TEST(concurrencyLimit, baselinesDoNotChange)
     {
