Send a rejected request again only over a new connection

Cause: a response is matched by the identifier of its request. A request that its server had rejected was sent again over the connection on which it had been rejected; a late copy of the rejection bears the same identifier and was taken for the answer to the second attempt, while the server ran it. On the same path, a failure without an identifier was taken for the answer to whatever waited: health checks use the same connections, and a late copy of a rejected one had the same effect.

Change: a call tells the serving node that its backend server rejected it before; such a call, health checks and requests without an identifier get a connection that has carried nothing else. A response without an identifier counts only there. Skipped responses are logged. A pool at its limit closes its oldest idle connection for the new one.

Why it works: copies come on the connection of their original. A connection that has carried an identifier once can hold one answer to it.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -317,6 +317,9 @@
     http_request content;
     duration remaining { 0 };
     bool idempotent = true;
+    /// The backend server has received this request before and has rejected it. A late copy of the rejection bears the
+    /// same identifier as the response to this attempt.
+    bool resent = false;
 };
 struct cancel_on_backend {
     std::uint64_t attempt = 0;
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -182,6 +182,17 @@
     duration timeout { 0 }; ///< zero: no timeout
 };
 
+    /// Use a connection that carries no other request before it. Needed where id does not identify the response,
+    /// because the server has received the same id before and may send a late copy of that response.
+    bool newConnection = false;
+};
+
+/// A response that was not taken for the response to the request that waited on its connection.
+struct skipped_response {
+    std::string id; ///< of the request that waited
+    std::string receivedId; ///< of the response; empty: none
+    int status = 0;
+    std::uint64_t connection = 0; ///< number of the connection in this pool
 struct pool_options {
     std::size_t maxConnections = 1000;
     duration connectTimeout = std::chrono::seconds(1);
@@ -192,6 +203,7 @@
     body_budget* budget = nullptr; ///< for the bodies of responses while they are read; nullptr: unbounded
 };
 
+    std::function<void(const skipped_response&)> skipped; ///< called for each skipped final response. Optional.
 /// Pool of persistent connections to one HTTP server. Each connection carries one request at a time.
 class http_pool {
 public:
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -168,7 +168,7 @@
     call.attempt = nextAttempt++;
     call.targetNode = target->node;
     call.sentAt = now;
-    call.tried.insert(target->node);
+    const bool resent = !call.tried.insert(target->node).second;
     ++call.sends;
     callByAttempt[call.attempt] = call.request.call;
     wire::call_request_data message;
@@ -189,6 +189,7 @@
     message.finished_calls = call.position.finishedCalls;
     message.remaining_calls = static_cast<float>(tree.remainingCalls(call.parent, call.matchedRoute->name));
     message.retried = call.position.retried || !call.reached.empty();
+    message.resent = resent;
     message.idempotent = call.matchedRoute->idempotent;
     message.remaining_us = (call.deadline - now).count();
     message.queue_us = (call.queueUntil > now ? call.queueUntil - now : call.deadline - now).count();
--- a/src/libmesh/mesh_call_tree_test.cpp
+++ b/src/libmesh/mesh_call_tree_test.cpp
@@ -240,7 +240,8 @@
     unsigned sends = 0;
     for (auto sent = fixture.callFramesWithPeers(); sent.size() == 1; sent = fixture.callFramesWithPeers()) {
         ++sends;
-        servers.insert(sent[0].first);
+        // The node of the backend server must not take a late copy of the first rejection for the second one.
+        EXPECT_EQ(sent[0].second.resent, !servers.insert(sent[0].first).second);
         fixture.reject(sent[0].second.id);
     }
     EXPECT_GE(sends, 3U);
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -273,6 +273,7 @@
             uint8_t finished_calls = 0;
             float remaining_calls = 1.0f;
             bool retried = false;
+            bool resent = false;
             call_request_data() = default;
             call_request_data(const call_request_data& o);
             call_request_data(call_request_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -301,7 +302,8 @@
                 VT_ROOT_ROUTE_RANK = 34,
                 VT_FINISHED_CALLS = 36,
                 VT_REMAINING_CALLS = 38,
-                VT_RETRIED = 40
+                VT_RETRIED = 40,
+                VT_RESENT = 42
             };
             uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
             const flatbuffers::String* service() const { return GetPointer<const flatbuffers::String*>(VT_SERVICE); }
@@ -332,6 +334,7 @@
             uint8_t finished_calls() const { return GetField<uint8_t>(VT_FINISHED_CALLS, 0); }
             float remaining_calls() const { return GetField<float>(VT_REMAINING_CALLS, 1.0f); }
             bool retried() const { return GetField<uint8_t>(VT_RETRIED, 0) != 0; }
+            bool resent() const { return GetField<uint8_t>(VT_RESENT, 0) != 0; }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_ID, 8)
@@ -351,7 +354,8 @@
                     && VerifyField<uint8_t>(verifier, VT_ROOT_ROUTE_RANK, 1)
                     && VerifyField<uint8_t>(verifier, VT_FINISHED_CALLS, 1)
                     && VerifyField<float>(verifier, VT_REMAINING_CALLS, 4)
-                    && VerifyField<uint8_t>(verifier, VT_RETRIED, 1) && verifier.EndTable();
+                    && VerifyField<uint8_t>(verifier, VT_RETRIED, 1) && VerifyField<uint8_t>(verifier, VT_RESENT, 1)
+                    && verifier.EndTable();
             }
             call_request_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(call_request_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -434,6 +438,10 @@
             {
                 fbb_.AddElement<uint8_t>(call_request::VT_RETRIED, static_cast<uint8_t>(retried), 0);
             }
+            void add_resent(bool resent)
+            {
+                fbb_.AddElement<uint8_t>(call_request::VT_RESENT, static_cast<uint8_t>(resent), 0);
+            }
             explicit call_requestBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -457,7 +465,7 @@
             flatbuffers::Offset<flatbuffers::String> caller_service = 0, uint8_t importance = 0,
             bool idempotent = false, int64_t remaining_us = 0, int64_t queue_us = 0, uint8_t root_rank = 255,
             uint8_t root_route_rank = 255, uint8_t finished_calls = 0, float remaining_calls = 1.0f,
-            bool retried = false)
+            bool retried = false, bool resent = false)
         {
             call_requestBuilder builder_(_fbb);
             builder_.add_queue_us(queue_us);
@@ -473,6 +481,7 @@
             builder_.add_method(method);
             builder_.add_request_id(request_id);
             builder_.add_service(service);
+            builder_.add_resent(resent);
             builder_.add_retried(retried);
             builder_.add_finished_calls(finished_calls);
             builder_.add_root_route_rank(root_route_rank);
@@ -489,7 +498,7 @@
             const char* body = nullptr, const char* team = nullptr, const char* caller_service = nullptr,
             uint8_t importance = 0, bool idempotent = false, int64_t remaining_us = 0, int64_t queue_us = 0,
             uint8_t root_rank = 255, uint8_t root_route_rank = 255, uint8_t finished_calls = 0,
-            float remaining_calls = 1.0f, bool retried = false)
+            float remaining_calls = 1.0f, bool retried = false, bool resent = false)
         {
             auto service__ = service ? _fbb.CreateString(service) : 0;
             auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -503,7 +512,7 @@
             auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
             return limpet::mesh::wire::Createcall_request(_fbb, id, service__, request_id__, method__, path__, host__,
                 headers__, body__, team__, caller_service__, importance, idempotent, remaining_us, queue_us, root_rank,
-                root_route_rank, finished_calls, remaining_calls, retried);
+                root_route_rank, finished_calls, remaining_calls, retried, resent);
         }
 
         flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder& _fbb,
@@ -1556,6 +1565,7 @@
             , finished_calls(o.finished_calls)
             , remaining_calls(o.remaining_calls)
             , retried(o.retried)
+            , resent(o.resent)
         {
             headers.reserve(o.headers.size());
             for (const auto& headers_ : o.headers) {
@@ -1584,6 +1594,7 @@
             std::swap(finished_calls, o.finished_calls);
             std::swap(remaining_calls, o.remaining_calls);
             std::swap(retried, o.retried);
+            std::swap(resent, o.resent);
             return *this;
         }
 
@@ -1689,6 +1700,10 @@
                 auto _e = retried();
                 _o->retried = _e;
             }
+            {
+                auto _e = resent();
+                _o->resent = _e;
+            }
         }
 
         inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder& _fbb,
@@ -1734,9 +1749,10 @@
             auto _finished_calls = _o->finished_calls;
             auto _remaining_calls = _o->remaining_calls;
             auto _retried = _o->retried;
+            auto _resent = _o->resent;
             return limpet::mesh::wire::Createcall_request(_fbb, _id, _service, _request_id, _method, _path, _host,
                 _headers, _body, _team, _caller_service, _importance, _idempotent, _remaining_us, _queue_us, _root_rank,
-                _root_route_rank, _finished_calls, _remaining_calls, _retried);
+                _root_route_rank, _finished_calls, _remaining_calls, _retried, _resent);
         }
 
         inline call_answer_data::call_answer_data(const call_answer_data& o)
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -141,6 +141,7 @@
     out.emplace_back(std::move(run));
 }
 
+    run.resent = call.content.resent;
 void node::state::applyAdmission(const admission_actions& decided, time_point now, actions& out)
 {
     for (const auto& id : decided.start)
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -100,7 +100,9 @@
                   return textResponse(statusOk, nodeMetrics.format(node.statistics(bootTime())));
               }))
     , backendPool(loop, settings.backendAddress,
-          { .maxResponseBytes = settings.memoryMb * bytesPerMb / responseMemoryDivisor, .budget = &bodies })
+          { .maxResponseBytes = settings.memoryMb * bytesPerMb / responseMemoryDivisor,
+              .budget = &bodies,
+              .skipped = [this](const skipped_response& each) { logSkippedResponse(each); } })
     , nodeLinks(loop, settings.linkAddress, linkCallbacks())
     , statusSocket(loop, settings.linkAddress, [this](mesh::status_received received) { handle(std::move(received)); })
     , store(adapter.openStore(loop, settings.storeAddress))
--- a/src/libproxy/daemon_requests.cpp
+++ b/src/libproxy/daemon_requests.cpp
@@ -77,6 +77,7 @@
     headers.insert(headers.begin(), addedHeaders.begin(), addedHeaders.end());
     request.idHeader = names.requestId;
     request.id = run.requestId;
+    request.newConnection = run.resent || run.requestId.empty();
     const auto attempt = run.attempt;
     const bool idempotent = run.idempotent;
     exchangeByAttempt[attempt] = backendPool.start(
@@ -129,6 +130,13 @@
     handle(std::move(result));
 }
 
+void mesh_daemon::state::logSkippedResponse(const skipped_response& skipped)
+{
+    logEvent({ "response_skipped",
+        { { "id", skipped.id }, { "received_id", skipped.receivedId }, { "status", std::to_string(skipped.status) },
+            { "connection", std::to_string(skipped.connection) } } });
+}
+
 /// Probes the backend server's port at regular intervals until it accepts connections again.
 void mesh_daemon::state::probeBackend()
 {
@@ -153,6 +161,7 @@
     request.content.path = healthPath;
     request.content.headers = { { "Host", toText(settings.backendAddress) } };
     request.timeout = healthCheckTimeout;
+    request.newConnection = true; // its response has no identifier
     backendPool.start(std::move(request), [this](tl::expected<http_answer, exchange_failure> outcome) {
         mesh::backend_check_result checked;
         const auto* id = outcome ? findHeader(outcome->headers, adapter.headers.instanceId) : nullptr;
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -46,6 +46,7 @@
     const std::string& method() const { return m_method; }
     std::string& target() { return m_target; }
     std::vector<header>& headers() { return m_headers; }
+    const std::vector<header>& headers() const { return m_headers; }
     std::string& body() { return m_body; }
 
 private:
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -34,6 +34,7 @@
         bool answered = false; ///< not used
         std::uint64_t exchange = 0; ///< zero: idle or used by a probe
         unsigned skippedResponses = 0; ///< since its exchange began
+        std::uint64_t requestsSent = 0;
         std::function<void(bool)> probe;
         time_point usableUntil {};
         std::uint64_t timer = 0; ///< connect timeout or idle timeout
@@ -53,6 +54,10 @@
     std::uint64_t openedCount = 0;
 
     void assignConnection(std::uint64_t id);
+    connection* takeIdle();
+    bool makeRoom();
+    bool belongsToExchange(const connection& conn) const;
+    bool skipResponse(connection& conn);
     connection* open();
     void sendRequest(connection& conn, std::uint64_t id);
     void handleReady(std::uint64_t serial, std::uint32_t events);
@@ -129,18 +134,12 @@
 
 void http_pool::state::assignConnection(std::uint64_t id)
 {
-    const auto now = bootTime();
-    while (!idle.empty()) {
-        const auto serial = idle.back();
-        idle.pop_back();
-        auto& conn = connections.at(serial);
-        if (conn.usableUntil > now) {
-            sendRequest(conn, id);
-            return;
-        }
-        closeConnection(serial);
+    const bool mustBeNew = exchanges.at(id).request.newConnection;
+    if (auto* reused = mustBeNew ? nullptr : takeIdle()) {
+        sendRequest(*reused, id);
+        return;
     }
-    const bool full = connections.size() >= options.maxConnections;
+    const bool full = !makeRoom();
     errno = 0;
     auto* newConnection = full ? nullptr : open();
     if (newConnection) {
@@ -148,7 +147,30 @@
         return;
     }
     const auto failure = full || lacksDescriptors() ? exchange_failure::noCapacity : exchange_failure::notSent;
-    loop.callAt(now, [this, id, failure] { completeExchange(id, tl::unexpected(failure)); });
+    loop.callAt(bootTime(), [this, id, failure] { completeExchange(id, tl::unexpected(failure)); });
+}
+
+/// Returns the usable connection that was used last, which is no longer idle then, or nullptr.
+connection* http_pool::state::takeIdle()
+{
+    const auto now = bootTime();
+    while (!idle.empty()) {
+        const auto serial = idle.back();
+        idle.pop_back();
+        auto& conn = connections.at(serial);
+        if (conn.usableUntil > now)
+            return &conn;
+        closeConnection(serial);
+    }
+    return nullptr;
+}
+
+/// Returns whether another connection may be opened; closes the one that has been idle longest if necessary.
+bool http_pool::state::makeRoom()
+{
+    if (connections.size() >= options.maxConnections && !idle.empty())
+        closeConnection(idle.front());
+    return connections.size() < options.maxConnections;
 }
 
 connection* http_pool::state::open()
@@ -183,6 +205,7 @@
     loop.cancelTimer(std::exchange(conn.timer, conn.connecting ? conn.timer : 0));
     conn.exchange = id;
     conn.skippedResponses = 0;
+    ++conn.requestsSent;
     connectionByExchange[id] = conn.serial;
     const auto& content = exchanges.at(id).request.content;
     std::string head = content.method + " " + content.path + " HTTP/1.1\r\n";
@@ -265,26 +288,44 @@
         });
 }
 
-/// Handles a complete message; skips interim responses and responses to other requests. rest are the received bytes
-/// that follow it. Returns whether the connection can be used further.
+/// Whether the complete response in the connection's reader answers the request that waits there. A server may send
+/// additional responses to earlier requests at any time.
+bool http_pool::state::belongsToExchange(const connection& conn) const
+{
+    const auto& request = exchanges.at(conn.exchange).request;
+    if (request.idHeader.empty())
+        return true;
+    if (const auto* responseId = findHeader(conn.reader.headers(), request.idHeader))
+        return *responseId == request.id;
+    // Without the identifier, it can belong to any request that the connection has carried.
+    const bool success = conn.reader.status() >= firstFinalStatus && conn.reader.status() < firstNonSuccessStatus;
+    return !success && conn.requestsSent == 1;
+}
+
+/// Discards an interim response, or one to another request. Returns whether the connection can be used further.
+bool http_pool::state::skipResponse(connection& conn)
+{
+    const auto& request = exchanges.at(conn.exchange).request;
+    const bool final = conn.reader.status() >= firstFinalStatus;
+    const bool usable = (conn.reader.keepAlive() || !final) && ++conn.skippedResponses <= maxSkippedResponses;
+    if (final && options.skipped) {
+        const auto* receivedId = findHeader(conn.reader.headers(), request.idHeader);
+        options.skipped({ request.id, receivedId ? *receivedId : "", conn.reader.status(), conn.serial });
+    }
+    conn.reader.restart(request.content.method != "HEAD");
+    return usable;
+}
+
+/// Handles a complete message. rest are the received bytes that follow it. Returns whether the connection can be used
+/// further.
 bool http_pool::state::handleResponse(connection& conn, std::string_view& rest)
 {
     auto& reader = conn.reader;
     if (reader.state() != reader_state::complete)
         return false;
+    if (reader.status() < firstFinalStatus || !belongsToExchange(conn))
+        return skipResponse(conn);
     const auto id = conn.exchange;
-    const auto& request = exchanges.at(id).request;
-    const auto* responseId = request.idHeader.empty() ? nullptr : findHeader(reader.headers(), request.idHeader);
-    // A success without the identifier may be the copy of an earlier response.
-    const bool unidentified = !request.idHeader.empty() && !responseId && reader.status() >= firstFinalStatus
-        && reader.status() < firstNonSuccessStatus;
-    const bool otherRequest = unidentified || (responseId && *responseId != request.id);
-    if (otherRequest || reader.status() < firstFinalStatus) {
-        const bool usable = (reader.keepAlive() || reader.status() < firstFinalStatus)
-            && ++conn.skippedResponses <= maxSkippedResponses;
-        reader.restart(request.content.method != "HEAD");
-        return usable;
-    }
     http_answer response;
     response.status = reader.status();
     response.headers = std::move(reader.headers());
--- a/src/libproxy/proxy_fixtures_test.h
+++ b/src/libproxy/proxy_fixtures_test.h
@@ -83,7 +83,7 @@
     fake_backend(const fake_backend&) = delete;
     fake_backend& operator=(const fake_backend&) = delete;
 
-    void sendRequest(const std::string& id)
+    void sendRequest(const std::string& id, bool newConnection = false)
     {
         outcome.reset();
         receivedRequest.clear();
@@ -91,6 +91,7 @@
         request.content = { "GET", "/x", { { "Host", "x" }, { "X-Id", id } }, nullptr };
         request.idHeader = "X-Id";
         request.id = id;
+        request.newConnection = newConnection;
         pool.start(std::move(request), [this](auto received) { outcome = std::move(received); });
         EXPECT_TRUE(runUntil(loop, [&] {
             if (connection < 0) {
--- a/src/libproxy/proxy_http_test.cpp
+++ b/src/libproxy/proxy_http_test.cpp
@@ -148,6 +148,65 @@
     }
 }
 
+// A late copy of a rejection bears the identifier of the request that is sent once more. On a connection that carried
+// the identifier before, it was taken for the response to the second send.
+TEST(pool, sendsOnANewConnectionWhenAskedTo)
+{
+    fake_backend backend(17719);
+    const std::string rejection = "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n";
+    backend.sendRequest("1");
+    sendAll(backend.connection, rejection);
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_EQ((*backend.outcome)->status, 503);
+    const int first = std::exchange(backend.connection, -1);
+    backend.sendRequest("1", true);
+    EXPECT_EQ(backend.pool.connectionsOpened(), 2U);
+    sendAll(first, rejection);
+    EXPECT_FALSE(runUntil(backend.loop, [&] { return backend.outcome.has_value(); }));
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none");
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_EQ((*backend.outcome)->status, 200);
+    close(first);
+}
+
+// A pool at its limit replaces an idle connection instead of refusing the request.
+TEST(pool, newConnectionTakesThePlaceOfAnIdleOne)
+{
+    pool_options options;
+    options.maxConnections = 1;
+    fake_backend backend(17720, options);
+    backend.sendRequest("1");
+    sendAll(backend.connection, "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(backend.waitForOutcome());
+    close(std::exchange(backend.connection, -1));
+    backend.sendRequest("1", true);
+    EXPECT_EQ(backend.pool.connectionsOpened(), 2U);
+}
+
+// The response to a health check has no identifier. A late copy of its rejection was taken for the rejection of the
+// next request. On the first exchange of a connection there is nothing that it could be a copy of.
+TEST(pool, failureWithoutAnIdentifierCountsOnlyOnAnUnusedConnection)
+{
+    const std::string rejection = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    std::vector<skipped_response> skipped;
+    pool_options options;
+    options.skipped = [&](const skipped_response& each) { skipped.push_back(each); };
+    fake_backend backend(17721, options);
+    backend.sendRequest("1");
+    sendAll(backend.connection, rejection);
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_EQ((*backend.outcome)->status, 503);
+    backend.sendRequest("2");
+    sendAll(backend.connection, rejection);
+    EXPECT_TRUE(runUntil(backend.loop, [&] { return skipped.size() == 1; }));
+    EXPECT_FALSE(backend.outcome.has_value());
+    EXPECT_EQ(skipped.front().id, "2");
+    EXPECT_EQ(skipped.front().status, 503);
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo");
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_EQ((*backend.outcome)->status, 200);
+}
+
 TEST(pool, doesNotReuseAConnectionWithBytesAfterTheResponse)
 {
     fake_backend backend(17713);
