Ignore the second copy of a call that is in progress

Callers would see an order that ran answered 503, or run at a second server. Found by reading the paths beside the late copies of rejections; no run of processes has shown it.

Cause: a serving node answered a call whose number it was working on with "not executed" under that number, which the caller takes for the outcome of the call in progress.

Change: the copy is ignored and logged, so nothing but the outcome of the call bears its number.

Measured: serving.secondCopyOfACallIsIgnored failed before (a reply was sent) and passes.

--- a/src/libmesh/mesh_backend_test.cpp
+++ b/src/libmesh/mesh_backend_test.cpp
@@ -298,6 +298,18 @@
     EXPECT_EQ(parseFrame(replies[0].bytes)->failure->kind, static_cast<std::uint8_t>(failure_kind::notExecuted));
 }
 
+// The second copy of a call was answered with "not executed", which its caller took for the outcome of the first.
+TEST(serving, secondCopyOfACallIsIgnored)
+{
+    node_fixture fixture;
+    fixture.configure();
+    fixture.addBackend("i-1", 100);
+    receiveCall(fixture, 1, 0, 5s, duration(0));
+    receiveCall(fixture, 1, 0, 5s, duration(0));
+    EXPECT_EQ(fixture.take<run_on_backend>().size(), 1U);
+    EXPECT_TRUE(fixture.take<reply_frame>().empty());
+}
+
 // Faulty times of another node must not overflow.
 TEST(serving, absurdTimesOfAnotherNodeAreBounded)
 {
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -66,6 +66,11 @@
 void node::state::serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out)
 {
     const serving_key key { link, call.id };
+    if (servingByKey.contains(key)) {
+        // Any reply would be taken for the outcome of the call that is in progress.
+        log(out, "call_ignored", { { "id", call.request_id }, { "reason", "duplicate" } });
+        return;
+    }
     arrivals.add(now);
     const auto remaining = std::clamp(duration(call.remaining_us), duration(0), maxRemaining) - delay;
     std::string_view reason;
@@ -75,8 +80,6 @@
         reason = "deadline-exceeded";
     else if (heldBytes + call.body.size() > options.tuning.maxHeldBytes)
         reason = "memory";
-    else if (servingByKey.contains(key))
-        reason = "duplicate";
     if (!reason.empty()) {
         log(out, "call_refused",
             { { "id", call.request_id }, { "reason", std::string(reason) }, { "wanted", call.service },
@@ -138,10 +141,10 @@
     tree.executionStarted(servingId, run.requestId, call.deadline,
         { call.content.root_rank, call.content.root_route_rank, call.content.finished_calls, call.content.retried });
     run.idempotent = call.content.idempotent;
+    run.resent = call.content.resent;
     out.emplace_back(std::move(run));
 }
 
-    run.resent = call.content.resent;
 void node::state::applyAdmission(const admission_actions& decided, time_point now, actions& out)
 {
     for (const auto& id : decided.start)
