Report the end of a link only for the calls that were on it

Callers would see an order run at two servers while a node lacks descriptors, and requests of the node's own clients end at their deadline. Found by reading; shown with real sockets by the test, not by a run of processes.

Cause: if a connect failed at once, all calls to that peer were reported as unsent in a later iteration. A call that was sent over a new link meanwhile was among them. The report named link 0, the number of the node's own calls, which were cancelled.

Change: such a link exists until it closes in the next iteration, and calls to the peer wait on it until then. Each call is on one link, and its end says whether the call was sent.

--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -61,7 +61,7 @@
     std::uint64_t timeoutCheckTimer = 0;
 
     void acceptConnections();
-    link* openLink(const socket_address& peer);
+    link& openLink(const socket_address& peer);
     void sendFrame(link& peerLink, frame_kind kind, std::string_view bytes);
     void handleReady(std::uint64_t serial, std::uint32_t events);
     bool readFrames(std::uint64_t serial, std::uint32_t events);
@@ -92,13 +92,9 @@
 {
     auto& impl = *m_state;
     const auto found = impl.outgoingLinks.find(peer);
-    auto* peerLink = found == impl.outgoingLinks.end() ? impl.openLink(peer) : &impl.links.at(found->second);
-    if (peerLink) {
-        peerLink->expectedReplies = std::max(0, peerLink->expectedReplies + expectedReplyDelta);
-        impl.sendFrame(*peerLink, frame_kind::message, bytes);
-        return;
-    }
-    impl.loop.callAt(bootTime(), [&impl, peer] { impl.callbacks.closed({ 0, peer, false }); });
+    auto& peerLink = found == impl.outgoingLinks.end() ? impl.openLink(peer) : impl.links.at(found->second);
+    peerLink.expectedReplies = std::max(0, peerLink.expectedReplies + expectedReplyDelta);
+    impl.sendFrame(peerLink, frame_kind::message, bytes);
 }
 
 void frame_links::reply(std::uint64_t link, std::string_view bytes)
@@ -127,11 +123,10 @@
         loop.callAt(bootTime() + acceptRetryInterval, [this] { acceptConnections(); });
 }
 
-link* frame_links::state::openLink(const socket_address& peer)
+/// Returns a link that is connecting. If the connect fails at once, the link closes in a later iteration and takes
+/// along the messages that are sent until then: each message is on exactly one link, whose end tells what became of it.
+link& frame_links::state::openLink(const socket_address& peer)
 {
-    const int descriptor = startConnect(peer, options.pingTimeout);
-    if (descriptor < 0)
-        return nullptr;
     const auto serial = nextSerial++;
     auto& peerLink = links[serial];
     peerLink.serial = serial;
@@ -140,10 +135,14 @@
     peerLink.connecting = true;
     peerLink.openedAt = bootTime();
     peerLink.lastReceived = peerLink.openedAt;
-    peerLink.socket
-        = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
     outgoingLinks[peer] = serial;
-    return &peerLink;
+    const int descriptor = startConnect(peer, options.pingTimeout);
+    if (descriptor >= 0)
+        peerLink.socket
+            = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
+    else
+        loop.callAt(bootTime(), [this, serial] { close(serial); });
+    return peerLink;
 }
 
 void frame_links::state::sendFrame(link& peerLink, frame_kind kind, std::string_view bytes)
--- a/src/libproxy/proxy_limits_test.cpp
+++ b/src/libproxy/proxy_limits_test.cpp
@@ -2,7 +2,6 @@
 
 #include "body_budget.h"
 #include "proxy_fixtures_test.h"
-#include <sys/resource.h>
 
 using namespace limpet;
 using namespace limpet::proxy;
@@ -157,25 +156,6 @@
     close(waiting);
 }
 
-/// Uses up the descriptors of the process until destruction.
-class no_descriptors {
-public:
-    no_descriptors()
-    {
-        getrlimit(RLIMIT_NOFILE, &m_before);
-        const int next = dup(0);
-        close(next);
-        const rlimit lowered { static_cast<rlim_t>(next), m_before.rlim_max };
-        setrlimit(RLIMIT_NOFILE, &lowered);
-    }
-    ~no_descriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
-    no_descriptors(const no_descriptors&) = delete;
-    no_descriptors& operator=(const no_descriptors&) = delete;
-
-private:
-    rlimit m_before {};
-};
-
 // accept() that fails for lack of descriptors leaves the connection pending without a further event.
 TEST(limits, pendingConnectionIsAcceptedWhenDescriptorsAreFreeAgain)
 {
--- a/src/libproxy/proxy_links_test.cpp
+++ b/src/libproxy/proxy_links_test.cpp
@@ -76,4 +76,24 @@
     close(peer);
 }
 
+// A message that followed one whose link could not be opened was sent over a new link, and then reported as unsent
+// along with the first: the caller sent the request again elsewhere. The report named link 0, which stands for the
+// calls of the node's own clients.
+TEST(links, messageIsNotReportedAsUnsentAfterItWasSent)
+{
+    links_fixture fixture;
+    const socket_address peer { "127.0.0.1", peerPort };
+    {
+        const no_descriptors exhausted;
+        fixture.links.send(peer, "first", 1);
+    }
+    fixture.links.send(peer, "second", 1);
+    ASSERT_TRUE(runUntil(fixture.loop, [&] { return !fixture.closed.empty(); }));
+    EXPECT_FALSE(fixture.closed.front().established);
+    EXPECT_NE(fixture.closed.front().link, 0U);
+    EXPECT_EQ(::accept(fixture.listener, nullptr, nullptr), -1) << "the second message was sent and reported as unsent";
+    fixture.links.send(peer, "third", 1);
+    close(fixture.accept());
+}
+
 } // namespace
--- a/src/libproxy/proxy_sockets_test.h
+++ b/src/libproxy/proxy_sockets_test.h
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <limpetcroft/proxy.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,6 +32,25 @@
     return descriptor;
 }
 
+/// Uses up the descriptors of the process until destruction.
+class no_descriptors {
+public:
+    no_descriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int next = dup(0);
+        close(next);
+        const rlimit lowered { static_cast<rlim_t>(next), m_before.rlim_max };
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~no_descriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    no_descriptors(const no_descriptors&) = delete;
+    no_descriptors& operator=(const no_descriptors&) = delete;
+
+private:
+    rlimit m_before {};
+};
+
 /// Runs the loop until the condition holds or two seconds have passed. Returns whether it holds.
 inline bool runUntil(reactor& loop, const std::function<bool()>& condition)
 {
