End a planned stop only when the last byte is written

Cause: the daemon took the decision logic's word for being idle. For it a call has ended when its response is handed to the HTTP server. Bytes that wait for clients or for other nodes, and requests that have begun to arrive, were not asked for.

Change: the daemon goes on while a client connection carries a request or a response, or a link has unsent bytes, until its stop time less the margin, as before.

--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -158,6 +158,8 @@
     /// none is idle, new ones wait until one closes.
     void setMaxConnections(std::size_t connections);
     std::size_t connectionCount() const;
+    /// Whether a connection carries a request that has begun to arrive, or a response that its client may not have yet.
+    bool busy() const;
     /// Closes each connection after its next response.
     void closeAfterResponses();
 
@@ -180,8 +182,6 @@
     std::string idHeader; ///< a response with another value than id in this header is skipped; empty: not checked
     std::string id; ///< expected value of idHeader
     duration timeout { 0 }; ///< zero: no timeout
-};
-
     /// Use a connection that carries no other request before it. Needed where id does not identify the response,
     /// because the server has received the same id before and may send a late copy of that response.
     bool newConnection = false;
@@ -193,6 +193,8 @@
     std::string receivedId; ///< of the response; empty: none
     int status = 0;
     std::uint64_t connection = 0; ///< number of the connection in this pool
+};
+
 struct pool_options {
     std::size_t maxConnections = 1000;
     duration connectTimeout = std::chrono::seconds(1);
@@ -201,9 +203,9 @@
     duration idleMargin = std::chrono::milliseconds(1200);
     std::size_t maxResponseBytes = 64 << 20; ///< of the body
     body_budget* budget = nullptr; ///< for the bodies of responses while they are read; nullptr: unbounded
+    std::function<void(const skipped_response&)> skipped; ///< called for each skipped final response. Optional.
 };
 
-    std::function<void(const skipped_response&)> skipped; ///< called for each skipped final response. Optional.
 /// Pool of persistent connections to one HTTP server. Each connection carries one request at a time.
 class http_pool {
 public:
@@ -269,6 +271,8 @@
     void send(const socket_address& peer, std::string_view bytes, int expectedReplyDelta);
     /// Sends a message over the link on which a frame was received. Drops the message if that link is closed.
     void reply(std::uint64_t link, std::string_view bytes);
+    /// Whether bytes wait to be sent to a connected peer.
+    bool hasUnsentBytes() const;
 
 private:
     struct state;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -297,16 +297,19 @@
         std::visit(action_executor { *this }, each);
 }
 
+/// Whether no request is in progress and no response is still being written.
+bool mesh_daemon::state::idle() const { return node.idle() && !clientServer.busy() && !nodeLinks.hasUnsentBytes(); }
+
 void mesh_daemon::state::quitWhenStopped()
 {
     const auto now = bootTime();
-    const bool done = now >= earliestQuitAt && node.idle();
+    const bool done = now >= earliestQuitAt && idle();
     if (!done && now < forcedQuitAt) {
         loop.callAt(now + std::chrono::milliseconds(50), [this] { quitWhenStopped(); });
         return;
     }
     logEvent({ "stop",
-        { { "idle", node.idle() ? "1" : "0" },
+        { { "idle", idle() ? "1" : "0" }, { "clients_busy", clientServer.busy() ? "1" : "0" },
             { "in_flight", std::to_string(node.statistics(bootTime()).callsInFlight) } } });
     log.flush();
     loop.quit();
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -71,6 +71,7 @@
     void execute(mesh::registry::outcome& outcome);
     void startWatch(store_revision from);
     void reportListedNodes(const std::vector<std::string>& entries);
+    bool idle() const;
     void quitWhenStopped();
     void applyLimits();
     void applyBackendLimit();
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -2,6 +2,7 @@
 // one-byte kind and the payload.
 
 #include "sockets.h"
+#include <algorithm>
 #include <sys/epoll.h>
 
 namespace limpet::proxy {
@@ -104,6 +105,12 @@
         m_state->sendFrame(found->second, frame_kind::message, bytes);
 }
 
+bool frame_links::hasUnsentBytes() const
+{
+    return std::any_of(m_state->links.begin(), m_state->links.end(),
+        [](const auto& each) { return !each.second.connecting && !each.second.out.empty(); });
+}
+
 void frame_links::state::acceptConnections()
 {
     socket_address peer;
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -2,6 +2,7 @@
 
 #include "http_reader.h"
 #include "sockets.h"
+#include <algorithm>
 #include <limits>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -124,6 +125,14 @@
 
 std::size_t http_server::connectionCount() const { return m_state->connections.size(); }
 
+bool http_server::busy() const
+{
+    return std::any_of(m_state->connections.begin(), m_state->connections.end(), [](const auto& each) {
+        const auto& conn = each.second;
+        return conn.phase != connection_phase::reading || conn.reader.started() || !conn.pipelined.empty();
+    });
+}
+
 void http_server::state::acceptConnections()
 {
     acceptPaused = false;
