End the largest response when the budget for bodies is used up

Callers would see 502 for requests that had run, while a faulty server sends a few bodies slowly and without end, or states large lengths: these hold all bytes that a node may use for bodies.

Cause: the response that needed the next bytes failed, not the one that held them.

Change: the pool ends the response that holds most of the budget, if it holds more than the one that needs bytes will. It fails in a later iteration, since its owner may be in the middle of reading another one.

--- a/src/libproxy/body_budget.h
+++ b/src/libproxy/body_budget.h
@@ -62,6 +62,7 @@
     /// Takes further bytes even beyond the limit, for what must be held anyway.
     void add(std::size_t bytes);
     void clear();
+    std::size_t bytes() const { return m_bytes; }
 
 private:
     body_budget* m_budget = nullptr;
--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -97,6 +97,22 @@
     return 1;
 }
 
+bool http_reader::reserve(std::size_t bodyBytes)
+{
+    while (!m_reservation.growTo(bodyBytes)) {
+        if (!m_reclaim || !m_reclaim(bodyBytes))
+            return false;
+    }
+    return true;
+}
+
+void http_reader::discardBody()
+{
+    m_state = reader_state::overBudget;
+    m_body = {};
+    m_reservation.clear();
+}
+
 int http_reader::onHeaderField(std::string_view part)
 {
     // Trailers of a chunked body count towards the header limit but are not forwarded.
@@ -130,7 +146,7 @@
         m_state = reader_state::bodyTooLarge;
         return -1;
     }
-    if (lengthKnown && m_expectBody && !m_reservation.growTo(m_parser.content_length)) {
+    if (lengthKnown && m_expectBody && !reserve(m_parser.content_length)) {
         m_state = reader_state::overBudget;
         return -1;
     }
@@ -143,7 +159,7 @@
         m_state = reader_state::bodyTooLarge;
         return 1;
     }
-    if (!m_reservation.growTo(m_body.size() + part.size())) {
+    if (!reserve(m_body.size() + part.size())) {
         m_state = reader_state::overBudget;
         return 1;
     }
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -27,7 +27,16 @@
     void setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
     /// The bytes of bodies are taken from the budget, those of a body of known length before it is read, until
     /// restart().
-    void setBudget(body_budget* budget) { m_reservation = body_reservation(budget); }
+    /// reclaim: called when the budget lacks bytes for a body of that many bytes; returns whether it has freed some.
+    void setBudget(body_budget* budget, std::function<bool(std::size_t bodyBytes)> reclaim = {})
+    {
+        m_reservation = body_reservation(budget);
+        m_reclaim = std::move(reclaim);
+    }
+    /// Bytes taken from the budget for the body.
+    std::size_t reservedBytes() const { return m_reservation.bytes(); }
+    /// Drops the body and gives its bytes back. The state is overBudget until restart().
+    void discardBody();
     /// Returns the reservation for the body, for an owner that holds the body longer.
     body_reservation takeReservation() { return std::move(m_reservation); }
     /// Prepares for the next message. expectBody is false for responses to HEAD, which have no body.
@@ -57,6 +66,7 @@
     int onHeadersComplete();
     int onBody(std::string_view part);
     int countHeaderBytes(std::size_t bytes);
+    bool reserve(std::size_t bodyBytes);
 
     http_parser m_parser {};
     http_parser_type m_type;
@@ -75,6 +85,7 @@
     std::vector<header> m_headers;
     std::string m_body;
     body_reservation m_reservation;
+    std::function<bool(std::size_t)> m_reclaim;
 };
 
 /// Appends the headers, a Content-Length header and the empty line that ends the header section.
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -64,6 +64,7 @@
     void readInput(connection& conn, std::uint32_t events);
     bool handleResponse(connection& conn, std::string_view& rest);
     void makeIdle(connection& conn);
+    bool dropLargestResponse(std::size_t bodyBytes);
     void failConnection(std::uint64_t serial, exchange_failure failure);
     void completeExchange(std::uint64_t id, tl::expected<http_answer, exchange_failure> outcome);
     std::uint64_t closeConnection(std::uint64_t serial);
@@ -183,7 +184,7 @@
     auto& conn = connections.try_emplace(serial).first->second;
     conn.serial = serial;
     conn.reader.setLimits(maxHeaderBytes, options.maxResponseBytes);
-    conn.reader.setBudget(options.budget);
+    conn.reader.setBudget(options.budget, [this](std::size_t bodyBytes) { return dropLargestResponse(bodyBytes); });
     conn.socket
         = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
     conn.timer = loop.callAt(bootTime() + options.connectTimeout, [this, serial] { connectTimedOut(serial); });
@@ -351,6 +352,23 @@
     return usable && connections.contains(serial);
 }
 
+/// Ends the response that holds most of the budget, if it holds more than that many bytes: one response without end
+/// must not cost many small ones. Returns whether there was one.
+bool http_pool::state::dropLargestResponse(std::size_t bodyBytes)
+{
+    const auto largest
+        = std::max_element(connections.begin(), connections.end(), [](const auto& left, const auto& right) {
+              return left.second.reader.reservedBytes() < right.second.reader.reservedBytes();
+          });
+    auto& reader = largest->second.reader;
+    if (reader.reservedBytes() <= bodyBytes)
+        return false;
+    reader.discardBody();
+    // The caller is in the middle of reading another response.
+    loop.callAt(bootTime(), [this, serial = largest->first] { failConnection(serial, exchange_failure::lost); });
+    return true;
+}
+
 void http_pool::state::makeIdle(connection& conn)
 {
     if (conn.usableUntil == time_point {})
--- a/src/libproxy/proxy_limits_test.cpp
+++ b/src/libproxy/proxy_limits_test.cpp
@@ -231,6 +231,40 @@
         endless_case { "otherResponses", "", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nno" }),
     [](const auto& info) { return info.param.name; });
 
+// Bodies that a server sends slowly and without end used up the bytes that the process may hold for bodies. From then
+// on, each other response, however small, was lost.
+TEST(limits, responseWithoutEndDoesNotCostSmallOnes)
+{
+    body_budget budget(1 << 20);
+    fake_backend backend(17728, { .maxResponseBytes = 8 << 20, .budget = &budget });
+    backend.sendRequest("1");
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n");
+    const std::string piece(16384, 'x');
+    for (int number = 0; number < 63; ++number) {
+        sendAll(backend.connection, piece);
+        runUntil(backend.loop, [turns = 0]() mutable { return ++turns > 1; });
+    }
+    EXPECT_EQ(budget.used(), 63 * piece.size());
+    const int endless = std::exchange(backend.connection, -1);
+    std::optional<tl::expected<http_answer, exchange_failure>> small;
+    backend.pool.start({ { "GET", "/", {}, nullptr } }, [&](auto received) { small = std::move(received); });
+    ASSERT_TRUE(runUntil(backend.loop, [&] {
+        if (backend.connection < 0)
+            backend.connection = accept(backend.listener, nullptr, nullptr);
+        return backend.connection >= 0;
+    }));
+    const std::string body(2 * piece.size(), 'y');
+    sendAll(
+        backend.connection, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ASSERT_TRUE(runUntil(backend.loop, [&] { return small.has_value(); }));
+    ASSERT_TRUE(small->has_value());
+    EXPECT_EQ((*small)->body->size(), body.size());
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_EQ(backend.outcome->error(), exchange_failure::lost);
+    EXPECT_EQ(budget.used(), 0U);
+    close(endless);
+}
+
 // ---- Unexpected errors and pauses ----
 
 TEST(limits, exceptionInAHandlerDoesNotEndTheLoop)
