--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// \file state.h
-/// Internal state of a node, shared by the sources of this library. entry.cpp manages the calls received by this node;
-/// serving.cpp executes attempts on the local backend server.
+/// Internal state of a node, shared by the sources of this library. entry.cpp manages the calls received by this node,
+/// attempts.cpp their attempts at other nodes; serving.cpp executes attempts on the local backend server.
 
 #include <cstring>
 #include <deque>
@@ -137,13 +137,8 @@
     // ---- entry.cpp ----
     void onCallerRequest(caller_request& request);
     void onCallerDisconnected(std::uint64_t handle);
-    void onCallReply(const call_reply& reply, node_id from);
-    void onCallRefusal(const call_refusal& message, node_id from);
-    void onAttemptStatus(const attempt_status& status, node_id from);
     void onClaimResult(const claim_result& resolved);
     void onQuotaCompletion(const quota_completion& completion);
-    void onLinkClosed(node_id peer, bool opened);
-    void onPhaseTimer(outgoing_call& call);
     void callDeadlinePassed(outgoing_call& call);
     std::optional<refusal> authorize(const caller_request& request, const route_rule& route, outgoing_call& call);
     std::optional<refusal> bindToParent(const caller_request& request, const route_rule& route, outgoing_call& call);
@@ -151,20 +146,27 @@
     void acquireRateToken(outgoing_call& call);
     void onRateTokenAcquired(outgoing_call& call);
     void acquireClaim(outgoing_call& call);
+    void refuseCall(outgoing_call& call, refusal cause);
+    void refuseCallerRequest(const caller_request& request, const refusal& cause);
+    void completeCall(outgoing_call& call, const http_answer& content);
+    void eraseCall(std::uint64_t handle);
+
+    // ---- attempts.cpp ----
+    void onCallReply(const call_reply& reply, node_id from);
+    void onCallRefusal(const call_refusal& message, node_id from);
+    void onAttemptStatus(const attempt_status& status, node_id from);
+    void onLinkClosed(node_id peer, bool opened);
+    void onPhaseTimer(outgoing_call& call);
     void dispatch(outgoing_call& call);
     void sendAttempt(outgoing_call& call);
     void attemptFailed(outgoing_call& call, const refusal& cause, bool final);
     void endAttempt(outgoing_call& call, call_outcome outcome, std::uint8_t extraAttemptsUsed);
     void queryAttemptStatus(outgoing_call& call);
-    void refuseCall(outgoing_call& call, refusal cause);
-    void refuseCallerRequest(const caller_request& request, const refusal& cause);
-    void completeCall(outgoing_call& call, const http_answer& content);
     void cancelAttempt(const outgoing_call& call);
-    void eraseCall(std::uint64_t handle);
+    void setPhaseTimer(outgoing_call& call, time_point at);
     void recordShedReports(
         const outgoing_call& call, const std::vector<shed_report>& reports, node_id from, bool fromDraining);
     outgoing_call* findCall(const request_id& attempt, node_id from);
-    void setPhaseTimer(outgoing_call& call, time_point at);
 
     // ---- serving.cpp ----
     void onCallRequest(call_request request, node_id from, duration transit);
