Let a stopping node wait for servers that are at work

Cause: a query whose server is silent beyond what its route explains is cancelled there and sent elsewhere. The other server refused it, and no place was left.

Evidence: the node's log has repeat/silent, the refusal of kind 0 and request/overloaded for the query, in this order.

Change: a node that is shutting down gives up no attempt for silence or suspicion. A link that breaks still sends queries elsewhere.

Measured: shutdown.waitsForABackendServerThatIsAtWork failed before and passes.

--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -189,11 +189,14 @@
         retryElsewhere(calls.at(id), 1, "suspected", now, out);
 }
 
-/// Sends a call that waits for a response to another backend server. value: of the retry, as a factor.
+/// Sends a call that waits for a response to another backend server. value: of the retry, as a factor. A node that is
+/// shutting down waits instead: the other server may refuse the call, and then the work already done on it is lost
+/// without another chance for its client here.
 void node::state::retryElsewhere(
     ingress_call& call, double value, std::string_view reason, time_point now, actions& out)
 {
-    const bool allowed = call.matchedRoute->idempotent && mayReachAnother(call, 1) && now < call.queueUntil;
+    const bool allowed
+        = !self.leaving && call.matchedRoute->idempotent && mayReachAnother(call, 1) && now < call.queueUntil;
     if (!allowed || !selectEndpoint(call, now) || !retries.tryConsume(call.service, value * retryValue(call), now))
         return;
     log(out, "repeat",
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -86,6 +86,34 @@
     }
 }
 
+// Scenario restart-while-leaving with seed 1099292797509 failed with LOST: a node that was shutting down gave up a call
+// at which a backend server was working, because another one might have answered sooner. That one refused it, and the
+// client got 503.
+TEST(shutdown, waitsForABackendServerThatIsAtWork)
+{
+    node_with_peers fixture("stock");
+    for (int warmUp = 0; warmUp < 20; ++warmUp) {
+        fixture.request();
+        const auto sent = fixture.callFrames();
+        fixture.now += 100ms;
+        for (const auto& each : sent)
+            fixture.answer(each.id, okAnswer());
+    }
+    fixture.take<send_response>();
+    fixture.refreshPeers();
+    const auto call = fixture.request();
+    const auto sent = fixture.callFramesWithPeers();
+    ASSERT_EQ(sent.size(), 1U);
+    fixture.handle(leave_request {});
+    fixture.advance(600ms);
+    fixture.handle(link_suspected { sent[0].first, true });
+    fixture.refreshPeers();
+    fixture.advance(800ms);
+    EXPECT_TRUE(fixture.take<send_frame>().empty());
+    fixture.answer(sent[0].second.id, okAnswer());
+    EXPECT_EQ(fixture.statusOf(call), 200);
+}
+
 // Hundreds of nodes start at once. A node that discovers another region first would send its calls there, and requests
 // to all other nodes would cause a quadratic number of datagrams.
 TEST(discovery, requestsStatusesOfItsOwnZoneAndFewOtherNodes)
