Move the options into the connection pool

Cause: pool_options holds a function now, and the linter rejects the copy.

Change: the constructor moves it.

--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -72,7 +72,7 @@
 };
 
 http_pool::http_pool(reactor& loop, socket_address server, pool_options options)
-    : m_state(new state { loop, std::move(server), options, {}, {}, {}, {} })
+    : m_state(new state { loop, std::move(server), std::move(options), {}, {}, {}, {} })
 {
 }
 
