Share the measuring of a latency between two tests

Cause: the new test of a stopping node repeated the calls by which another test lets a node measure a latency.

Change: measureLatency() serves both; the assertions are unchanged.

--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -9,6 +9,20 @@
 
 namespace {
 
+/// Lets the node measure a usual latency of 100 ms on the route of the path.
+void measureLatency(node_with_peers& fixture, const std::string& path)
+{
+    for (int warmUp = 0; warmUp < 20; ++warmUp) {
+        fixture.request(path);
+        const auto sent = fixture.callFrames();
+        fixture.now += 100ms;
+        for (const auto& each : sent)
+            fixture.answer(each.id, okAnswer());
+    }
+    fixture.take<send_response>();
+    fixture.refreshPeers();
+}
+
 // A VM that loses power stops responding. Its link is closed only after two seconds, when most callers have timed out.
 TEST(suspicion, idempotentCallGoesToAnotherNode)
 {
@@ -59,15 +73,7 @@
     for (const bool idempotent : { true, false }) {
         const std::string path = idempotent ? "/stock/1" : "/orders/1";
         node_with_peers fixture(idempotent ? "stock" : "orders");
-        for (int warmUp = 0; warmUp < 20; ++warmUp) {
-            fixture.request(path);
-            const auto sent = fixture.callFrames();
-            fixture.now += 100ms;
-            for (const auto& each : sent)
-                fixture.answer(each.id, okAnswer());
-        }
-        fixture.take<send_response>();
-        fixture.refreshPeers();
+        measureLatency(fixture, path);
         const auto call = fixture.request(path);
         const auto first = fixture.callsSent();
         ASSERT_EQ(first.size(), 1U);
@@ -92,15 +98,7 @@
 TEST(shutdown, waitsForABackendServerThatIsAtWork)
 {
     node_with_peers fixture("stock");
-    for (int warmUp = 0; warmUp < 20; ++warmUp) {
-        fixture.request();
-        const auto sent = fixture.callFrames();
-        fixture.now += 100ms;
-        for (const auto& each : sent)
-            fixture.answer(each.id, okAnswer());
-    }
-    fixture.take<send_response>();
-    fixture.refreshPeers();
+    measureLatency(fixture, "/stock/1");
     const auto call = fixture.request();
     const auto sent = fixture.callFramesWithPeers();
     ASSERT_EQ(sent.size(), 1U);
