Log which attempts are cancelled, and which work that ends

The logs did not tell work that was broken off by its caller from work that a closed link ended, nor why a caller gave up. attempt_cancelled and call_cancelled do; both are bounded like the other events. No change of behaviour.

--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -204,7 +204,7 @@
             { "after_ms", milliseconds(now - call.sentAt) }, { "service", call.service } });
     call.reached.insert(call.targetNode);
     ++counts.retries;
-    abandonAttempt(call, now, out);
+    abandonAttempt(call, reason, now, out);
     send(call, now, out);
 }
 
@@ -262,14 +262,18 @@
 }
 
 /// Cancels the attempt in flight at the node that has it, which may be this one.
-void node::state::abandonAttempt(ingress_call& call, time_point now, actions& out)
+void node::state::abandonAttempt(ingress_call& call, std::string_view reason, time_point now, actions& out)
 {
     const auto attempt = call.attempt;
     const bool isLocal = call.targetNode == options.name;
+    if (attempt != 0)
+        log(out, "attempt_cancelled",
+            { { "id", call.request.requestId }, { "at", call.targetNode }, { "reason", std::string(reason) },
+                { "after_ms", milliseconds(now - call.sentAt) } });
     cancelAttempt(call, out);
     // The attempt has ended for this call, so that cancelling its execution does not affect the response.
     if (isLocal && attempt != 0)
-        cancelServing({ localLink, attempt }, now, out);
+        cancelServing({ localLink, attempt }, "caller", now, out);
 }
 
 } // namespace limpet::mesh
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -214,7 +214,7 @@
         { { "id", call.request.requestId }, { "at", call.targetNode },
             { "after_ms", milliseconds(now - call.arrived) } });
     ++counts.cancelled;
-    abandonAttempt(call, now, out);
+    abandonAttempt(call, "client-gone", now, out);
     deadlines.erase({ call.deadline, id });
     calls.erase(id);
 }
@@ -223,7 +223,7 @@
 {
     while (!deadlines.empty() && deadlines.begin()->first <= now) {
         auto& call = calls.at(deadlines.begin()->second);
-        abandonAttempt(call, now, out);
+        abandonAttempt(call, "deadline", now, out);
         if (call.fallback)
             deliver(call, std::move(*call.fallback), "backend-failure", now, out);
         else
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -41,7 +41,7 @@
     if (frame.call)
         serve(received.link, std::move(*frame.call), received.delay, now, out);
     if (frame.cancel)
-        cancelServing({ received.link, frame.cancel->id }, now, out);
+        cancelServing({ received.link, frame.cancel->id }, "caller", now, out);
     if (frame.answer) {
         updateLoad(frame.answer->load);
         http_answer answer;
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -244,7 +244,8 @@
             now, out);
 }
 
-void node::state::cancelServing(const serving_key& key, time_point now, actions& out)
+/// reason: why its caller no longer waits, for the log.
+void node::state::cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out)
 {
     const auto found = servingByKey.find(key);
     if (found == servingByKey.end())
@@ -255,6 +256,10 @@
     const bool current = call.generation == backend.generation;
     const auto elapsed = now - call.startedAt;
     const bool overdue = started && (now >= call.deadline || isSilent(call, now));
+    if (started)
+        log(out, "call_cancelled",
+            { { "id", call.content.request_id }, { "reason", std::string(reason) }, { "backend", backend.id },
+                { "ms", milliseconds(elapsed) } });
     removeServing(servingId);
     if (!started) {
         admissionControl.cancel(admissionId(servingId));
@@ -278,7 +283,7 @@
          ++each)
         keys.push_back(each->first);
     for (const auto& key : keys)
-        cancelServing(key, now, out);
+        cancelServing(key, "link-closed", now, out);
 }
 
 /// Refuses all queued calls; running calls continue.
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -129,7 +129,7 @@
     double fleetArrivals(const std::string& service) const;
     void updateServiceLoads(time_point now);
     void placeInTree(ingress_call& call, const team* owner, time_point now) const;
-    void abandonAttempt(ingress_call& call, time_point now, actions& out);
+    void abandonAttempt(ingress_call& call, std::string_view reason, time_point now, actions& out);
     void failAttemptsAt(const std::string& nodeName, failure_kind kind, time_point now, actions& out);
     const std::string& chooseService(const route& matchedRoute);
     duration expectedLatency(const std::string& service) const;
@@ -156,7 +156,7 @@
 
     void serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
-    void cancelServing(const serving_key& key, time_point now, actions& out);
+    void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
     void cancelLinkServing(std::uint64_t link, time_point now, actions& out);
     void handleBackendResult(backend_result result, time_point now, actions& out);
     void startServing(std::uint64_t servingId, time_point now, actions& out);
