--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -338,6 +338,8 @@
     socket_address healthAddress; ///< listens for readiness checks of this node
     socket_address controlAddress; ///< listens for heartbeats and deregistrations of the local backend server
     socket_address linkAddress; ///< TCP links and status datagrams (UDP) between nodes
+    /// Where other nodes reach linkAddress, if a forwarder stands in between.
+    std::optional<socket_address> advertisedLinkAddress;
     socket_address metricsAddress;
     socket_address backendAddress; ///< of the local backend server
     socket_address storeAddress;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -60,7 +60,7 @@
         options.region = settings.region;
         options.availabilityZone = settings.availabilityZone;
         options.service = settings.service;
-        options.address = settings.linkAddress;
+        options.address = settings.advertisedLinkAddress.value_or(settings.linkAddress);
         options.seed = options.run ^ makeNodeId(settings.name).value;
         options.tuning = makeTuning(settings);
         return options;
@@ -84,7 +84,8 @@
     , bodies(bodyBudget(settings))
     , node(makeNodeOptions(settings))
     , registry({ adapter.configurationKey, adapter.entryPrefix, settings.name,
-          toText(settings.linkAddress) + entrySeparator + settings.availabilityZone })
+          toText(settings.advertisedLinkAddress.value_or(settings.linkAddress)) + entrySeparator
+              + settings.availabilityZone })
     , clientServer(loop, settings.clientAddress, clientCallbacks())
     , healthServer(loop, settings.healthAddress,
           immediateCallbacks(healthServer,
--- a/src/libproxy/settings.cpp
+++ b/src/libproxy/settings.cpp
@@ -92,6 +92,8 @@
     reader.readAddress("health_address", settings.healthAddress);
     reader.readAddress("control_address", settings.controlAddress);
     reader.readAddress("link_address", settings.linkAddress);
+    if (parsed.contains("advertised_link_address"))
+        reader.readAddress("advertised_link_address", settings.advertisedLinkAddress.emplace());
     reader.readAddress("metrics_address", settings.metricsAddress);
     reader.readAddress("backend_address", settings.backendAddress);
     reader.readAddress("store_address", settings.storeAddress);
