Show that a response which is cut before its end is never whole

Report of other operators: a server stopped in the middle of the head, and clients got 200 with an empty or short body. Every cut of a head and of a body, at each byte, is lost here; no change needed.

--- a/src/libproxy/proxy_http_test.cpp
+++ b/src/libproxy/proxy_http_test.cpp
@@ -256,6 +256,21 @@
         connection_end_case { "malformed", "garbage\r\n\r\n", false, false }),
     [](const auto& info) { return info.param.name; });
 
+// Reported by other operators: a server stopped in the middle of the head, and clients got a success without its body.
+TEST(pool, responseCutAnywhereBeforeItsEndIsLost)
+{
+    const std::string response
+        = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\nContent-Length: 12\r\n\r\ntwelve bytes";
+    fake_backend backend(17722);
+    for (std::size_t length = 1; length <= response.size(); ++length) {
+        backend.sendRequest("1");
+        sendAll(backend.connection, std::string_view(response).substr(0, length));
+        close(std::exchange(backend.connection, -1));
+        ASSERT_TRUE(backend.waitForOutcome());
+        EXPECT_EQ(backend.outcome->has_value(), length == response.size()) << length << " bytes";
+    }
+}
+
 TEST(pool, reportsNotSentWithoutAConnection)
 {
     reactor loop;
