Do not count calls over a new link as lost when a restart becomes known

Callers saw 502 for orders that were running, and queries were given up, when a node had just come back: it takes calls before the first status of its new run has arrived, and that status ended all attempts at it.

Cause: the restart was counted for every attempt at the node, though those that were sent after the end of its link are on a new one. Now the status ends attempts only if no link to the earlier run has ended; the end of a link ends its own attempts.

Test: restart.callsOverANewLinkAreNotLostWhenTheRestartBecomesKnown, failed before for each of 10 calls; restart.callsOfAnEarlierRunAreLostWhenTheRestartBecomesKnown held before and holds.

--- a/src/libmesh/load_balancing.h
+++ b/src/libmesh/load_balancing.h
@@ -43,6 +43,7 @@
     std::string encodedStatus; ///< its newest status, as received
     bool forwarded = false; ///< this node, as a relay, has passed encodedStatus on
     unsigned sentSinceReport = 0; ///< calls sent there since its last load report
+    bool linkEnded = false; ///< a link to this run of its node has ended; later calls use another one
     time_point avoidUntil {}; ///< no new calls until then; set after a broken or unresponsive link
 };
 
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -93,8 +93,10 @@
         log(out, "peer_joined",
             { { "peer", status.node }, { "run", std::to_string(status.run) }, { "before", std::to_string(peer.run) },
                 { "service", status.service }, { "zone", status.availability_zone } });
-        if (peer.run != 0)
+        // Without an end of its link, the attempts in flight are at the earlier run.
+        if (peer.run != 0 && !peer.linkEnded)
             failAttemptsAt(status.node, failure_kind::lost, now, out);
+        peer.linkEnded = false;
         peer.avoidUntil = {};
     }
     const auto before = peer.state;
--- a/src/libmesh/mesh_peers_test.h
+++ b/src/libmesh/mesh_peers_test.h
@@ -27,8 +27,8 @@
         ++statusSequence;
         for (const unsigned number : { 2U, 3U }) {
             wire::status_data status;
-            status.node = "peer-" + std::to_string(number);
-            status.run = 1;
+            status.node = namePrefix + std::to_string(number);
+            status.run = run;
             status.sequence = statusSequence;
             status.region = "north";
             status.availability_zone = "north-a";
@@ -97,6 +97,8 @@
     }
 
     std::string peerService;
+    std::string namePrefix = "peer-";
+    std::uint64_t run = 1; ///< of the peers
     std::uint64_t statusSequence = 0;
 };
 
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -50,6 +50,49 @@
     EXPECT_EQ(fixture.statusOf(call), 0);
 }
 
+// A node that is back takes calls before the first status of its new run arrives. Those calls were counted as lost with
+// the ones of the earlier run: an order that was running was answered 502, and queries were given up.
+TEST(restart, callsOverANewLinkAreNotLostWhenTheRestartBecomesKnown)
+{
+    node_with_peers fixture("orders");
+    fixture.request("/orders/1", "planners-key", "POST");
+    const auto first = fixture.callFramesWithPeers().at(0);
+    fixture.handle(link_closed { 5, first.first, true });
+    fixture.take<send_response>();
+    fixture.advance(750ms);
+    std::map<std::uint64_t, std::uint64_t> callsBack; ///< attempts at the node that is back, and their calls
+    for (int index = 0; index < 20; ++index) {
+        const auto call = fixture.request("/orders/1", "planners-key", "POST");
+        for (const auto& [peer, sent] : fixture.callFramesWithPeers()) {
+            if (peer == first.first)
+                callsBack[sent.id] = call;
+        }
+    }
+    ASSERT_FALSE(callsBack.empty());
+    fixture.take<send_response>();
+    fixture.run = 2;
+    fixture.refreshPeers();
+    for (const auto& each : fixture.take<send_response>()) {
+        const bool ofNewLink = std::any_of(
+            callsBack.begin(), callsBack.end(), [&](const auto& known) { return known.second == each.call; });
+        EXPECT_FALSE(ofNewLink) << each.content.status;
+    }
+    for (const auto& [attempt, call] : callsBack) {
+        fixture.answer(attempt, okAnswer());
+        EXPECT_EQ(fixture.statusOf(call), 200);
+    }
+}
+
+// A link may stay open for long after the power of its node failed.
+TEST(restart, callsOfAnEarlierRunAreLostWhenTheRestartBecomesKnown)
+{
+    node_with_peers fixture("orders");
+    const auto call = fixture.request("/orders/1", "planners-key", "POST");
+    fixture.run = 2;
+    fixture.refreshPeers();
+    EXPECT_EQ(fixture.statusOf(call), 502);
+}
+
 TEST(suspicion, suspectedNodeGetsNoNewCallsUntilItResponds)
 {
     node_with_peers fixture("orders");
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -66,10 +66,12 @@
         void operator()(const link_closed& each) const
         {
             own.cancelLinkServing(each.link, now, out);
-            const auto* peer = own.peerByAddress(each.peer);
-            if (peer)
-                own.failAttemptsAt(std::string(peer->node),
-                    each.established ? failure_kind::lost : failure_kind::notExecuted, now, out);
+            auto* peer = own.peerByAddress(each.peer);
+            if (!peer)
+                return;
+            peer->linkEnded = true;
+            own.failAttemptsAt(
+                std::string(peer->node), each.established ? failure_kind::lost : failure_kind::notExecuted, now, out);
         }
         void operator()(const link_suspected& each) const { own.suspectLink(each, now, out); }
         void operator()(const status_received& each) const { own.receiveStatus(each, now, out); }
