Keep the address of a node when an earlier one with that address is forgotten

Callers would wait until their deadline: for up to half a second after a node was forgotten, the end of a link to the node that took its address over was not recognized.

Cause: the entry of the address was removed though it named the later node. Test: restart.linkOfANodeWithAnEarlierNodesAddressIsRecognizedAfterThatOneIsForgotten, failed before.

--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -168,7 +168,9 @@
             { { "peer", each->first }, { "silent_ms", milliseconds(now - each->second.lastSeen) } });
         failAttemptsAt(each->first, failure_kind::lost, now, out);
         rates.removeNode(each->first);
-        peerNameByAddress.erase(each->second.address);
+        const auto named = peerNameByAddress.find(each->second.address);
+        if (named != peerNameByAddress.end() && named->second == each->first)
+            peerNameByAddress.erase(named);
         each = peers.erase(each);
     }
 }
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -93,6 +93,22 @@
     EXPECT_EQ(fixture.statusOf(call), 502);
 }
 
+// The address of a node that is gone for long may belong to another one.
+TEST(restart, linkOfANodeWithAnEarlierNodesAddressIsRecognizedAfterThatOneIsForgotten)
+{
+    node_with_peers fixture("orders");
+    fixture.namePrefix = "later-";
+    for (int second = 0; second < 30; ++second) {
+        fixture.advance(1s);
+        fixture.refreshPeers();
+    }
+    fixture.advance(1s);
+    const auto call = fixture.request("/orders/1", "planners-key", "POST");
+    const auto sent = fixture.callFramesWithPeers().at(0);
+    fixture.handle(link_closed { 5, sent.first, true });
+    EXPECT_EQ(fixture.statusOf(call), 502);
+}
+
 TEST(suspicion, suspectedNodeGetsNoNewCallsUntilItResponds)
 {
     node_with_peers fixture("orders");
