Do not send over a connection that the server has closed behind its response

Callers saw 502 for orders that no server had read: a server that closes right after its response, without saying so in a header, gets the next queued request over that connection when the response and the close are read at once.

Cause: only the headers decided whether a connection is used again, not the end of input that the event had already reported.

Test: pool.doesNotReuseAConnectionThatTheServerHasClosed, failed before (the request was lost).

--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -62,7 +62,7 @@
     void sendRequest(connection& conn, std::uint64_t id);
     void handleReady(std::uint64_t serial, std::uint32_t events);
     void readInput(connection& conn, std::uint32_t events);
-    bool handleResponse(connection& conn, std::string_view& rest);
+    bool handleResponse(connection& conn, std::string_view rest, bool inputEnded);
     void makeIdle(connection& conn);
     bool dropLargestResponse(std::size_t bodyBytes);
     void failConnection(std::uint64_t serial, exchange_failure failure);
@@ -257,6 +257,7 @@
 void http_pool::state::readInput(connection& conn, std::uint32_t events)
 {
     const auto serial = conn.serial;
+    const bool inputEnded = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     bool unusable = false;
     const auto outcome = readAll(conn.socket.get(), events, [&](std::string_view chunk) {
         while (!chunk.empty() && !unusable) {
@@ -268,14 +269,13 @@
             chunk.remove_prefix(std::min(conn.reader.feed(chunk), chunk.size()));
             if (conn.reader.state() == reader_state::reading)
                 break;
-            unusable = !handleResponse(conn, chunk);
+            unusable = !handleResponse(conn, chunk, inputEnded);
         }
         return !unusable;
     });
     if (!unusable && outcome == read_outcome::ended && conn.exchange != 0 && conn.reader.started()) {
         conn.reader.feedEof();
-        std::string_view rest;
-        handleResponse(conn, rest);
+        handleResponse(conn, {}, true);
         unusable = true;
     }
     if (unusable || outcome == read_outcome::ended || outcome == read_outcome::broken) {
@@ -317,9 +317,9 @@
     return usable;
 }
 
-/// Handles a complete message. rest are the received bytes that follow it. Returns whether the connection can be used
-/// further.
-bool http_pool::state::handleResponse(connection& conn, std::string_view& rest)
+/// Handles a complete message. rest are the received bytes that follow it. inputEnded: the server sends nothing after
+/// them. Returns whether the connection can be used further.
+bool http_pool::state::handleResponse(connection& conn, std::string_view rest, bool inputEnded)
 {
     auto& reader = conn.reader;
     if (reader.state() != reader_state::complete)
@@ -333,7 +333,7 @@
     response.body = makeBytes(std::move(reader.body()));
     reader.takeReservation().clear();
     const bool requestSent = conn.out.empty();
-    const bool usable = reader.keepAlive() && requestSent && rest.empty();
+    const bool usable = reader.keepAlive() && requestSent && rest.empty() && !inputEnded;
     conn.usableUntil = bootTime() + options.idleTimeout - options.idleMargin;
     const auto* keepAliveHeader = findHeader(response.headers, "Keep-Alive");
     const auto parameter = keepAliveHeader ? keepAliveHeader->find(keepAliveTimeoutParameter) : std::string::npos;
--- a/src/libproxy/proxy_fixtures_test.h
+++ b/src/libproxy/proxy_fixtures_test.h
@@ -68,6 +68,7 @@
     http_pool pool;
     std::string receivedRequest;
     std::optional<tl::expected<http_answer, exchange_failure>> outcome;
+    std::function<void()> onOutcome; ///< called once
 
     explicit fake_backend(std::uint16_t port, pool_options options = {})
         : listener(openSocket(port, true))
@@ -92,8 +93,17 @@
         request.idHeader = "X-Id";
         request.id = id;
         request.newConnection = newConnection;
-        pool.start(std::move(request), [this](auto received) { outcome = std::move(received); });
-        EXPECT_TRUE(runUntil(loop, [&] {
+        pool.start(std::move(request), [this](auto received) {
+            outcome = std::move(received);
+            if (onOutcome)
+                std::exchange(onOutcome, nullptr)();
+        });
+        EXPECT_TRUE(waitForRequest());
+    }
+    /// Accepts a connection if none is open, and reads from it until the head of a request is there.
+    bool waitForRequest()
+    {
+        return runUntil(loop, [&] {
             if (connection < 0) {
                 connection = accept(listener, nullptr, nullptr);
                 if (connection >= 0)
@@ -102,7 +112,7 @@
             if (connection >= 0)
                 receivedRequest += readAvailable(connection);
             return receivedRequest.find("\r\n\r\n") != std::string::npos;
-        }));
+        });
     }
     bool waitForOutcome()
     {
--- a/src/libproxy/proxy_http_test.cpp
+++ b/src/libproxy/proxy_http_test.cpp
@@ -256,6 +256,29 @@
         connection_end_case { "malformed", "garbage\r\n\r\n", false, false }),
     [](const auto& info) { return info.param.name; });
 
+// A queued order was sent over the connection of the response that made room for it, although the server had closed
+// that connection, and was lost.
+TEST(pool, doesNotReuseAConnectionThatTheServerHasClosed)
+{
+    fake_backend backend(17723);
+    std::optional<tl::expected<http_answer, exchange_failure>> next;
+    exchange_request request;
+    request.content = { "POST", "/x", { { "Host", "x" }, { "X-Id", "2" } }, makeBytes("order") };
+    request.idHeader = "X-Id";
+    request.id = "2";
+    backend.onOutcome
+        = [&] { backend.pool.start(std::move(request), [&](auto received) { next = std::move(received); }); };
+    backend.sendRequest("1");
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none");
+    close(std::exchange(backend.connection, -1));
+    ASSERT_TRUE(backend.waitForOutcome());
+    backend.receivedRequest.clear();
+    ASSERT_TRUE(backend.waitForRequest());
+    sendAll(backend.connection, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo");
+    ASSERT_TRUE(runUntil(backend.loop, [&] { return next.has_value(); }));
+    EXPECT_TRUE(next->has_value());
+}
+
 // Reported by other operators: a server stopped in the middle of the head, and clients got a success without its body.
 TEST(pool, responseCutAnywhereBeforeItsEndIsLost)
 {
