--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -172,12 +172,11 @@
 std::vector<std::uint64_t> node::state::attemptsAt(const std::string& nodeName) const
 {
     std::vector<std::uint64_t> found;
-    for (const auto& [attempt, id] : callByAttempt) {
-        const auto& attempts = calls.at(id).attempts;
-        const bool isThere = std::any_of(attempts.begin(), attempts.end(),
-            [&](const attempt_in_flight& each) { return each.id == attempt && each.node == nodeName; });
-        if (isThere)
-            found.push_back(attempt);
+    for (const auto& [id, call] : calls) {
+        for (const auto& each : call.attempts) {
+            if (each.node == nodeName)
+                found.push_back(each.id);
+        }
     }
     std::sort(found.begin(), found.end());
     return found;
--- a/src/libproxy/proxy_limits_test.cpp
+++ b/src/libproxy/proxy_limits_test.cpp
@@ -295,12 +295,24 @@
     EXPECT_GE(measured, 600ms);
 }
 
-TEST(settings, readLimitsOfMemoryAndRetries)
-{
-    const std::string places
-        = R"("node":"a","region":"r","availability_zone":"z","service":"s","client_address":"1.1.1.1:1",
+// All required members.
+const std::string places
+    = R"("node":"a","region":"r","availability_zone":"z","service":"s","client_address":"1.1.1.1:1",
         "health_address":"1.1.1.1:2","control_address":"1.1.1.1:3","link_address":"1.1.1.1:4","metrics_address":"1.1.1.1:5",
         "backend_address":"1.1.1.1:6","store_address":"1.1.1.1:7")";
+
+TEST(settings, anotherAddressForLinksMayBeAdvertised)
+{
+    const auto read = parseDaemonSettings("{" + places + R"(,"advertised_link_address":"1.1.1.1:8"})");
+    ASSERT_TRUE(read) << read.error().message;
+    EXPECT_EQ(read->linkAddress.port, 4);
+    EXPECT_EQ(read->advertisedLinkAddress, (socket_address { "1.1.1.1", 8 }));
+    EXPECT_FALSE(parseDaemonSettings("{" + places + "}")->advertisedLinkAddress);
+    EXPECT_FALSE(parseDaemonSettings("{" + places + R"(,"advertised_link_address":"nowhere"})"));
+}
+
+TEST(settings, readLimitsOfMemoryAndRetries)
+{
     const auto read
         = parseDaemonSettings("{" + places + R"(,"memory_mb":160,"retry_window_ms":5000,"max_descriptors":4100})");
     ASSERT_TRUE(read) << read.error().message;
