--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -152,7 +152,7 @@
         send(call, now, out);
         return;
     }
-    // Its backend server is at work, so that an answer of the node's own would be premature.
+    // A backend server may be working on another attempt, whose answer is worth more than a refusal.
     if (othersInFlight)
         return;
     if (call.fallback) {
@@ -258,7 +258,7 @@
     impatience.emplace(wait, call.request.call);
 }
 
-void node::state::retrySilentAttempts(time_point now, actions& out)
+void node::state::hedgeSilentAttempts(time_point now, actions& out)
 {
     while (!impatience.empty() && impatience.begin()->first <= now) {
         auto& call = calls.at(impatience.begin()->second);
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -95,7 +95,7 @@
 void node::state::tick(time_point now, actions& out)
 {
     expireCalls(now, out);
-    retrySilentAttempts(now, out);
+    hedgeSilentAttempts(now, out);
     if (now >= servingDeadline())
         refuseQueued(refusal_reason::draining, now, out);
     applyAdmission(admissionControl.expire(now), now, out);
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -133,7 +133,7 @@
     void attemptFailed(std::uint64_t attempt, failure_kind kind, duration retryAfter, time_point now, actions& out);
     void suspectLink(const link_suspected& event, time_point now, actions& out);
     void hedge(ingress_call& call, double value, std::string_view reason, time_point now, actions& out);
-    void retrySilentAttempts(time_point now, actions& out);
+    void hedgeSilentAttempts(time_point now, actions& out);
     void startImpatience(ingress_call& call, const endpoint& target);
     void recordRouteLatency(const std::string& route, duration elapsed);
     double retryValue(const ingress_call& call) const;
