Count the servers of all attempts in flight against a route's limit

Now the limit counts both, a failure of one attempt waits for the other, and a refusal is followed by another send only within the limit; if all fail, the first server's failure is the answer.

Test: suspicion.failureOfOneAttemptWaitsForTheOtherInsteadOfReachingAThirdServer, failed before.

--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -30,11 +30,13 @@
 
 } // namespace
 
-/// Whether the route allows the call to reach a backend server that it has not reached yet. pending: number of backend
-/// servers that it is about to reach already.
-bool node::state::mayReachAnother(const ingress_call& call, std::size_t pending) const
+/// Whether the route allows the call to reach a backend server that it has not reached yet. Those that its attempts in
+/// flight are about to reach count as well.
+bool node::state::mayReachAnother(const ingress_call& call) const
 {
-    return call.reached.size() + pending < call.matchedRoute->maxAttempts;
+    const auto pending = std::count_if(call.attempts.begin(), call.attempts.end(),
+        [&](const attempt_in_flight& each) { return !call.reached.contains(each.node); });
+    return call.reached.size() + static_cast<std::size_t>(pending) < call.matchedRoute->maxAttempts;
 }
 
 /// Whether the call may be sent once more to a backend server that rejected it. The route limits the number of backend
@@ -94,6 +96,13 @@
     const bool failed = answer.status >= firstServerError;
     if (!failed)
         recordRouteLatency(call.matchedRoute->name, elapsed);
+    if (failed && !call.attempts.empty()) {
+        log(out, "attempt_failed",
+            { { "id", call.request.requestId }, { "at", call.targetNode }, { "status", std::to_string(answer.status) },
+                { "in_flight", std::to_string(call.attempts.size()) } });
+        call.fallback = std::move(answer);
+        return;
+    }
     const bool ownFailure = options.treeAware ? !failedBelow : call.importance != highestPriority;
     const auto left = call.queueUntil - now;
     const bool inTime
@@ -137,7 +146,7 @@
         allowed = allowed && !othersInFlight && (mayReachAnother(call) || mayResend(call))
             && retries.tryConsume(call.service, retryValue(call), now);
     else
-        allowed = allowed && call.refusals < maxNodeRefusals;
+        allowed = allowed && call.refusals < maxNodeRefusals && (!othersInFlight || mayReachAnother(call));
     log(out, allowed ? "repeat" : "attempt_failed",
         { { "id", call.request.requestId }, { "at", failedNode }, { "kind", std::to_string(static_cast<int>(kind)) },
             { "after_ms", milliseconds(now - ended->attempt.sentAt) },
@@ -218,8 +227,8 @@
 /// factor.
 void node::state::hedge(ingress_call& call, double value, std::string_view reason, time_point now, actions& out)
 {
-    const bool allowed = call.attempts.size() == 1 && call.matchedRoute->idempotent && mayReachAnother(call, 1)
-        && now < call.queueUntil;
+    const bool allowed
+        = call.attempts.size() == 1 && call.matchedRoute->idempotent && mayReachAnother(call) && now < call.queueUntil;
     if (!allowed || !selectEndpoint(call, now) || !retries.tryConsume(call.service, value * retryValue(call), now))
         return;
     const auto& waiting = call.attempts.front();
@@ -245,7 +254,7 @@
 void node::state::startImpatience(ingress_call& call, const endpoint& target)
 {
     const auto known = routeLatency.find(call.matchedRoute->name);
-    const bool mayRetry = options.treeAware && call.matchedRoute->idempotent && mayReachAnother(call, 1);
+    const bool mayRetry = options.treeAware && call.matchedRoute->idempotent && mayReachAnother(call);
     if (!mayRetry || known == routeLatency.end() || call.matchedRoute->targetLatency <= duration(0))
         return;
     const auto usual = duration(std::llround(known->second));
--- a/src/libmesh/mesh_peers_test.h
+++ b/src/libmesh/mesh_peers_test.h
@@ -25,7 +25,7 @@
     void refreshPeers()
     {
         ++statusSequence;
-        for (const unsigned number : { 2U, 3U }) {
+        for (unsigned number = 2; number < 2 + peerCount; ++number) {
             wire::status_data status;
             status.node = namePrefix + std::to_string(number);
             status.run = run;
@@ -97,6 +97,7 @@
     }
 
     std::string peerService;
+    unsigned peerCount = 2;
     std::string namePrefix = "peer-";
     std::uint64_t run = 1; ///< of the peers
     std::uint64_t statusSequence = 0;
--- a/src/libmesh/mesh_suspicion_test.cpp
+++ b/src/libmesh/mesh_suspicion_test.cpp
@@ -215,6 +215,25 @@
     EXPECT_EQ(fixture.statusOf(fixture.call), 502);
 }
 
+// BUDGET of two hunted days of kaynar-bildirim-grown: the first attempt failed while the hedge was running, and the
+// call was sent to a third backend server though its route allows two.
+TEST(suspicion, failureOfOneAttemptWaitsForTheOtherInsteadOfReachingAThirdServer)
+{
+    for (const bool otherSucceeds : { false, true }) {
+        hedged_call fixture;
+        fixture.peerCount = 3;
+        fixture.refreshPeers();
+        fixture.answer(fixture.first.second.id, { 500, {}, makeBytes("failed") });
+        EXPECT_TRUE(fixture.take<send_frame>().empty());
+        EXPECT_EQ(fixture.statusOf(fixture.call), 0);
+        if (otherSucceeds)
+            fixture.answer(fixture.secondId, okAnswer());
+        else
+            fixture.fail(fixture.secondId, failure_kind::lost);
+        EXPECT_EQ(fixture.statusOf(fixture.call), otherSucceeds ? 200 : 500);
+    }
+}
+
 TEST(suspicion, hedgedCallIsCancelledAtBothNodesAtItsDeadline)
 {
     hedged_call fixture;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -137,7 +137,7 @@
     void startImpatience(ingress_call& call, const endpoint& target);
     void recordRouteLatency(const std::string& route, duration elapsed);
     double retryValue(const ingress_call& call) const;
-    bool mayReachAnother(const ingress_call& call, std::size_t pending = 0) const;
+    bool mayReachAnother(const ingress_call& call) const;
     bool mayResend(const ingress_call& call) const;
     double fleetArrivals(const std::string& service) const;
     void updateServiceLoads(time_point now);
