End the calls of executions that were cancelled

Callers saw: whole trees of calls were worked on for clients that had left, up to 6.7 s later.

Cause: a cancel ends an execution by closing the connection to its backend server. A server that notices late, or never, waits for its calls in flight and makes further ones, and nodes took them as those of anybody. Class of fault: a cancel that depends on the cooperation of what it cancels.

Change: a node knows which execution made a call if the request id names it. When an idempotent execution is cancelled, its idempotent calls in flight are cancelled with it, down the tree, and later ones are refused as caller-gone (503, they have not run). Executions that are not idempotent are left alone: their server may complete them. Matches by deadline, which may be wrong, cancel nothing. A request that is executed again under its id is served.

Three of the new tests failed without the change (mutation run): abandoned_work.callsOfACancelledExecutionAreCancelled, furtherCallsOfACancelledExecutionAreNotExecuted and callsOfAnExecutionWhoseLinkEndedAreCancelled.

--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -166,8 +166,9 @@
     backendFailed,
     cancelled,
     internal,
+    callerGone, ///< the call belongs to work that was cancelled because its caller is gone
 };
-constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::internal) + 1;
+constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::callerGone) + 1;
 
 /// Returns the name of a reason as written in refusals and metrics, such as "rate-exceeded".
 std::string_view name(refusal_reason reason);
--- a/src/libcore/refusal.cpp
+++ b/src/libcore/refusal.cpp
@@ -33,6 +33,7 @@
         { "backend-failed", 502, "Check whether it took effect before sending it again." },
         { "cancelled", 499, "Send it again if it is still wanted." },
         { "internal", 500, "Report it with the request id." },
+        { "caller-gone", 503, "Stop the work that the call belongs to; nobody waits for it." },
     } };
 
     const reason_row& row(refusal_reason reason) { return reasonTable.at(static_cast<std::size_t>(reason)); }
--- a/src/libmesh/call_tree.cpp
+++ b/src/libmesh/call_tree.cpp
@@ -8,6 +8,8 @@
     constexpr duration deadlineTolerance = std::chrono::milliseconds(3);
     // Weight of one execution in the mean number of calls.
     constexpr double callsWeight = 0.1;
+    // Limit on the abandoned executions that are remembered; those with the earliest deadlines are forgotten first.
+    constexpr std::size_t maxAbandoned = 10'000;
 
     std::uint8_t increased(std::uint8_t value, unsigned by)
     {
@@ -51,24 +53,47 @@
     m_executions.erase(found);
 }
 
-/// Finds the execution with the longest request id that the given one extends.
-const call_tree::execution* call_tree::findByRequestId(const std::string& requestId, std::uint64_t& id) const
+void call_tree::executionAbandoned(std::uint64_t execution, time_point now)
+{
+    const auto found = m_executions.find(execution);
+    if (found == m_executions.end())
+        return;
+    const auto requestId = found->second.requestId;
+    const auto deadline = found->second.deadline;
+    executionEnded(execution, false);
+    forgetAbandonedBefore(now);
+    if (requestId.empty() || deadline <= now || !m_abandoned.emplace(requestId, deadline).second)
+        return;
+    m_abandonedByDeadline.emplace(deadline, requestId);
+}
+
+void call_tree::forgetAbandonedBefore(time_point now)
+{
+    while (!m_abandonedByDeadline.empty()
+        && (m_abandonedByDeadline.begin()->first < now || m_abandoned.size() >= maxAbandoned)) {
+        m_abandoned.erase(m_abandonedByDeadline.begin()->second);
+        m_abandonedByDeadline.erase(m_abandonedByDeadline.begin());
+    }
+}
+
+/// Finds the execution with the longest request id that the given one extends. One that was abandoned does not match if
+/// its request is being executed again.
+std::optional<call_tree::parent_match> call_tree::findByRequestId(const std::string& requestId) const
 {
     for (auto end = requestId.rfind('.'); end != std::string::npos && end > 0; end = requestId.rfind('.', end - 1)) {
-        const auto found = m_byRequestId.find(requestId.substr(0, end));
-        if (found == m_byRequestId.end())
-            continue;
-        id = found->second;
-        return &m_executions.at(id);
+        const auto prefix = requestId.substr(0, end);
+        if (const auto found = m_byRequestId.find(prefix); found != m_byRequestId.end())
+            return parent_match { true, false, found->second, true, childPosition(m_executions.at(found->second)) };
+        if (m_abandoned.contains(prefix))
+            return parent_match { true, true, std::nullopt, true, {} };
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 call_tree::parent_match call_tree::findParent(const std::string& requestId, time_point deadline) const
 {
-    std::uint64_t id = 0;
-    if (const auto* named = findByRequestId(requestId, id))
-        return { true, id, childPosition(*named) };
+    if (const auto named = findByRequestId(requestId))
+        return *named;
     parent_match match;
     unsigned candidates = 0;
     for (auto each = m_byDeadline.lower_bound({ deadline - deadlineTolerance, 0 });
@@ -76,7 +101,7 @@
         const auto position = childPosition(m_executions.at(each->second));
         ++candidates;
         if (candidates == 1)
-            match = { true, each->second, position };
+            match = { true, false, each->second, false, position };
         else {
             match.execution.reset();
             match.position.rootRank = std::max(match.position.rootRank, position.rootRank);
--- a/src/libmesh/call_tree.h
+++ b/src/libmesh/call_tree.h
@@ -27,13 +27,18 @@
 public:
     struct parent_match {
         bool found = false; ///< at least one execution matches
+        bool abandoned = false; ///< the execution that makes the call was cancelled; nobody waits for it
         std::optional<std::uint64_t> execution; ///< empty unless exactly one matches
+        bool named = false; ///< the request id names the execution
         tree_position position; ///< of the nested call; with several matches the least favourable one
     };
 
     void executionStarted(
         std::uint64_t execution, std::string requestId, time_point deadline, const tree_position& position);
     void executionEnded(std::uint64_t execution, bool succeeded);
+    /// Records that the execution was cancelled because its caller is gone. A backend server that has not noticed may
+    /// still make nested calls for it until its deadline.
+    void executionAbandoned(std::uint64_t execution, time_point now);
     parent_match findParent(const std::string& requestId, time_point deadline) const;
     /// Records that a nested call to the route has finished.
     void callFinished(std::uint64_t execution, const std::string& route, bool failed);
@@ -52,11 +57,14 @@
         bool failedBelow = false;
     };
     static tree_position childPosition(const execution& parent);
-    const execution* findByRequestId(const std::string& requestId, std::uint64_t& id) const;
+    std::optional<parent_match> findByRequestId(const std::string& requestId) const;
+    void forgetAbandonedBefore(time_point now);
 
     std::unordered_map<std::uint64_t, execution> m_executions;
     std::unordered_map<std::string, std::uint64_t> m_byRequestId;
     std::set<std::pair<time_point, std::uint64_t>> m_byDeadline;
+    std::map<std::string, time_point> m_abandoned; ///< deadlines of abandoned executions, by request id
+    std::set<std::pair<time_point, std::string>> m_abandonedByDeadline;
     std::map<std::string, double> m_callsPerExecution; ///< recent mean of the executions that make any, by route
 };
 
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -100,6 +100,10 @@
         kept.team = owner->name;
     }
     placeInTree(kept, owner, now);
+    if (kept.callerGone) {
+        answerWithRefusal(kept, refusal_reason::callerGone, duration(0), now, out);
+        return;
+    }
     auto timeout = kept.matchedRoute->timeout;
     if (kept.request.deadline && (timeout <= duration(0) || *kept.request.deadline < timeout))
         timeout = *kept.request.deadline;
@@ -143,6 +147,8 @@
         : tree.findParent(call.request.requestId, now + call.request.deadline.value_or(duration(0)));
     const bool isRoot = owner || (config->content().teams.empty() && !match.found);
     call.parent = match.execution;
+    call.parentNamed = match.named;
+    call.callerGone = match.abandoned;
     call.position = isRoot ? root : match.position;
     call.importance = isRoot ? rootPriority(root) : nestedPriority(call.position);
 }
@@ -214,7 +220,7 @@
     auto& call = found->second;
     log(out, "client_gone",
         { { "id", call.request.requestId }, { "at", call.targetNode },
-            { "after_ms", milliseconds(now - call.arrived) } });
+            { "attempts", std::to_string(call.attempts.size()) }, { "after_ms", milliseconds(now - call.arrived) } });
     ++counts.cancelled;
     cancelAttempts(call, "client-gone", now, out);
     deadlines.erase({ call.deadline, id });
--- /dev/null
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -0,0 +1,167 @@
+// Guards that work for callers that are gone ends, also where their cancel does not reach it.
+
+#include "mesh_peers_test.h"
+
+using namespace limpet;
+using namespace limpet::mesh;
+using namespace limpet::mesh::testing_support;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t callerLink = 5;
+
+/// A node whose backend server executes calls to "stock", which make calls to "checks" at the peers.
+struct serving_fixture : node_with_peers {
+    serving_fixture()
+        : node_with_peers("checks", "stock")
+    {
+        auto config = sampleConfiguration(2);
+        route checks = config.routes.at(1);
+        checks.name = "checks";
+        checks.pathPrefix = "/checks/";
+        checks.services = { { "checks", 1 } };
+        checks.isPublic = true;
+        config.routes.push_back(checks);
+        config.services.push_back({ "checks", "/health", 100 });
+        configure(config);
+        addBackend();
+        out.clear();
+    }
+
+    /// Handles a call of another node that the backend server starts to execute.
+    void serve(std::uint64_t id, const std::string& requestId, bool idempotent = true)
+    {
+        wire::frame_data frame;
+        frame.call = std::make_unique<wire::call_request_data>();
+        frame.call->id = id;
+        frame.call->service = "stock";
+        frame.call->request_id = requestId;
+        frame.call->method = idempotent ? "GET" : "POST";
+        frame.call->path = "/stock/1";
+        frame.call->idempotent = idempotent;
+        frame.call->remaining_us = duration(1500ms).count();
+        frame.call->queue_us = frame.call->remaining_us;
+        handle(frame_received { callerLink, {}, encodeFrame(frame) });
+        EXPECT_EQ(take<run_on_backend>().size(), 1U);
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        wire::frame_data frame;
+        frame.cancel = std::make_unique<wire::call_cancel_data>();
+        frame.cancel->id = id;
+        handle(frame_received { callerLink, {}, encodeFrame(frame) });
+    }
+
+    /// Makes a call of the backend server and returns its number.
+    std::uint64_t makeNestedCall(const std::string& requestId)
+    {
+        client_request made;
+        made.call = ++calls;
+        made.requestId = requestId;
+        made.host = "shop.example";
+        made.content.method = "GET";
+        made.content.path = "/checks/1";
+        made.deadline = 1s;
+        handle(std::move(made));
+        return calls;
+    }
+
+    /// Removes the frames that were sent and returns how many of them cancel a call.
+    std::size_t cancelFrames()
+    {
+        const auto sent = take<send_frame>();
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const send_frame& each) {
+            const auto frame = parseFrame(each.bytes);
+            return frame && frame->cancel;
+        }));
+    }
+};
+
+// A backend server that does not notice that its connection is closed kept its calls, and whole trees below them,
+// going.
+TEST(abandoned_work, callsOfACancelledExecutionAreCancelled)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    const auto nested = fixture.makeNestedCall("q1.1");
+    ASSERT_EQ(fixture.callFrames().size(), 1U);
+    fixture.cancel(1);
+    EXPECT_EQ(fixture.take<cancel_on_backend>().size(), 1U);
+    EXPECT_EQ(fixture.cancelFrames(), 1U);
+    EXPECT_EQ(fixture.statusOf(nested), 502);
+}
+
+TEST(abandoned_work, furtherCallsOfACancelledExecutionAreNotExecuted)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.cancel(1);
+    const auto nested = fixture.makeNestedCall("q1.1");
+    EXPECT_TRUE(fixture.callFrames().empty());
+    EXPECT_EQ(fixture.statusOf(nested), 503);
+}
+
+TEST(abandoned_work, callsOfAnExecutionWhoseLinkEndedAreCancelled)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.makeNestedCall("q1.1");
+    fixture.out.clear();
+    fixture.handle(link_closed { callerLink, {}, true });
+    EXPECT_EQ(fixture.cancelFrames(), 1U);
+}
+
+// A backend server may complete an order although its caller is gone, and must be able to.
+TEST(abandoned_work, callsOfACancelledNonIdempotentExecutionGoOn)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1", false);
+    const auto nested = fixture.makeNestedCall("q1.1");
+    fixture.out.clear();
+    fixture.cancel(1);
+    EXPECT_EQ(fixture.cancelFrames(), 0U);
+    EXPECT_EQ(fixture.statusOf(nested), 0);
+    fixture.makeNestedCall("q1.2");
+    EXPECT_EQ(fixture.callFrames().size(), 1U);
+}
+
+TEST(abandoned_work, callsOfOtherExecutionsGoOn)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.serve(2, "q2");
+    fixture.makeNestedCall("q2.1");
+    fixture.out.clear();
+    fixture.cancel(1);
+    EXPECT_EQ(fixture.cancelFrames(), 0U);
+    fixture.makeNestedCall("q2.2");
+    EXPECT_EQ(fixture.callFrames().size(), 1U);
+}
+
+// A client may send a request again under its id after it has left.
+TEST(abandoned_work, callsOfARequestThatIsExecutedAgainAreTaken)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.cancel(1);
+    fixture.serve(2, "q1");
+    fixture.makeNestedCall("q1.1");
+    EXPECT_EQ(fixture.callFrames().size(), 1U);
+}
+
+TEST(abandoned_work, isForgottenAfterItsDeadline)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.cancel(1);
+    fixture.advance(1600ms);
+    fixture.refreshPeers();
+    fixture.serve(2, "q2");
+    fixture.cancel(2);
+    fixture.makeNestedCall("q1.1");
+    EXPECT_EQ(fixture.callFrames().size(), 1U);
+}
+
+} // namespace
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -153,12 +153,14 @@
         refuseServing(each.id.low, each.reason, each.retryAfter, now, out);
 }
 
-void node::state::removeServing(std::uint64_t servingId)
+serving_call node::state::removeServing(std::uint64_t servingId)
 {
     const auto found = serving.find(servingId);
-    servingByKey.erase({ found->second.link, found->second.id });
-    heldBytes -= found->second.bodyBytes;
+    auto removed = std::move(found->second);
     serving.erase(found);
+    servingByKey.erase({ removed.link, removed.id });
+    heldBytes -= removed.bodyBytes;
+    return removed;
 }
 
 void node::state::refuseServing(
@@ -251,24 +253,31 @@
     if (found == servingByKey.end())
         return;
     const auto servingId = found->second;
-    const auto& call = serving.at(servingId);
-    const bool started = call.started;
-    const bool current = call.generation == backend.generation;
-    const auto elapsed = now - call.startedAt;
-    const bool overdue = started && (now >= call.deadline || isSilent(call, now));
-    if (started)
-        log(out, "call_cancelled",
-            { { "id", call.content.request_id }, { "reason", std::string(reason) }, { "backend", backend.id },
-                { "ms", milliseconds(elapsed) } });
-    removeServing(servingId);
-    if (!started) {
+    const auto call = removeServing(servingId);
+    if (!call.started) {
         admissionControl.cancel(admissionId(servingId));
         return;
     }
-    tree.executionEnded(servingId, false);
+    log(out, "call_cancelled",
+        { { "id", call.content.request_id }, { "reason", std::string(reason) }, { "backend", backend.id },
+            { "ms", milliseconds(now - call.startedAt) } });
+    endExecution(servingId, call, now, out);
+}
+
+/// Ends the execution of a cancelled call, and what it has caused elsewhere.
+void node::state::endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out)
+{
     out.emplace_back(cancel_on_backend { servingId });
-    if (!current)
+    // A backend server may finish a non-idempotent request although its connection is closed.
+    if (call.content.idempotent) {
+        tree.executionAbandoned(servingId, now);
+        cancelNestedCalls(servingId, now, out);
+    } else
+        tree.executionEnded(servingId, false);
+    if (call.generation != backend.generation)
         return;
+    const auto elapsed = now - call.startedAt;
+    const bool overdue = now >= call.deadline || isSilent(call, now);
     if (overdue)
         recordOutcome(1, elapsed);
     applyAdmission(admissionControl.finish(
@@ -276,6 +285,25 @@
         now, out);
 }
 
+/// Cancels the idempotent calls that a cancelled execution is waiting for. Its backend server may notice late, or
+/// never, that it was cancelled.
+void node::state::cancelNestedCalls(std::uint64_t execution, time_point now, actions& out)
+{
+    std::vector<std::uint64_t> nested;
+    for (const auto& [id, call] : calls) {
+        if (call.parent == execution && call.parentNamed && call.matchedRoute->idempotent)
+            nested.push_back(id);
+    }
+    std::sort(nested.begin(), nested.end());
+    for (const auto id : nested) {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+            continue;
+        cancelAttempts(found->second, "caller-gone", now, out);
+        answerWithRefusal(found->second, refusal_reason::connectionLost, duration(0), now, out);
+    }
+}
+
 void node::state::cancelLinkServing(std::uint64_t link, time_point now, actions& out)
 {
     std::vector<serving_key> keys;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -37,6 +37,8 @@
     priority importance = lowestPriority;
     tree_position position;
     std::optional<std::uint64_t> parent; ///< execution of the local backend server that made it, if it is known
+    bool parentNamed = false; ///< its request id names the parent
+    bool callerGone = false; ///< made by an execution that was cancelled
     time_point arrived {};
     time_point deadline {};
     time_point queueUntil {}; ///< deadline, or end of the target latency if earlier; bounds queueing and retries
@@ -171,6 +173,7 @@
     void serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
+    void cancelNestedCalls(std::uint64_t execution, time_point now, actions& out);
     void cancelLinkServing(std::uint64_t link, time_point now, actions& out);
     void handleBackendResult(backend_result result, time_point now, actions& out);
     void startServing(std::uint64_t servingId, time_point now, actions& out);
@@ -195,7 +198,8 @@
     time_point servingDeadline() const;
     void recordOutcome(double failure, duration elapsed);
     endpoint_load ownLoad() const;
-    void removeServing(std::uint64_t servingId);
+    serving_call removeServing(std::uint64_t servingId);
+    void endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out);
 
     // ---- Other nodes (members.cpp, dissemination.cpp) ----
     endpoint self;
