End the work of callers whose cancel cannot arrive

Cause, found by reading: a serving node learns that its caller gave up from a cancel or from the end of the link. Both are lost when the caller loses power, or closes its side of a link during a cut. The serving node sent nothing over that link before it had a response, so that it did not notice, and set no limit to the work itself.

Change: a call that is being served is cancelled 200 ms after its deadline, when its caller has given up in any case. And a link that the peer opened is pinged every 0.7 s of silence while its calls are worked on: if the peer's end is gone, its system rejects the ping, the link closes and its calls are cancelled. No reply to the ping is required, since a caller that is paused still takes its responses; bytes unacknowledged for 4 s close the link.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -367,6 +367,8 @@
     bool ready() const;
     /// Whether no client request and no call to the local backend server is in flight.
     bool idle() const;
+    /// Whether a call that arrived over the link is queued or running.
+    bool servesLink(std::uint64_t link) const;
     node_statistics statistics(time_point now) const;
     std::uint64_t configurationVersion() const;
     std::shared_ptr<const configuration_index> currentConfiguration() const;
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -239,6 +239,7 @@
     std::function<void(mesh::frame_received)> frame;
     std::function<void(mesh::link_closed)> closed; ///< a link was closed or could not be opened
     std::function<void(mesh::link_suspected)> suspected; ///< a suspicion began or ended
+    std::function<bool(std::uint64_t link)> working; ///< whether messages that arrived over the link are still worked on
 };
 
 struct frame_links_options {
@@ -249,6 +250,12 @@
     duration suspectAfter = std::chrono::milliseconds(350);
     /// A link is closed after this time without data from the peer since a ping, or with sent bytes unacknowledged.
     duration pingTimeout = std::chrono::milliseconds(1600);
+    /// A peer whose messages are worked on is pinged after this time without data from it. Longer than pingAfter, since
+    /// a peer that waits for a reply usually pings first.
+    duration callerPingAfter = std::chrono::milliseconds(700);
+    /// A link that the peer opened is closed with sent bytes unacknowledged for this time. Longer than pingTimeout,
+    /// since a peer that was paused still takes its replies.
+    duration callerAckTimeout = std::chrono::seconds(4);
     duration idleTimeout = std::chrono::seconds(30);
     std::size_t maxFrameBytes = 72 << 20; ///< a link is closed if the peer sends a longer frame
     std::size_t maxQueuedBytes = 96 << 20; ///< a link is closed if more bytes wait to be sent
@@ -268,6 +275,8 @@
     /// Sends a message over the link that this node opened to the peer; opens one if there is none. expectedReplyDelta
     /// is added to the number of replies expected from the peer, which every received message reduces by one. While it
     /// is above zero, a silent peer is pinged.
+    /// A peer whose messages are worked on is pinged as well: if its end of the link is gone, its system rejects the
+    /// ping, and the link closes.
     void send(const socket_address& peer, std::string_view bytes, int expectedReplyDelta);
     /// Sends a message over the link on which a frame was received. Drops the message if that link is closed.
     void reply(std::uint64_t link, std::string_view bytes);
--- a/src/libmesh/mesh_abandoned_work_test.cpp
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -109,8 +109,10 @@
     fixture.serve(1, "q1");
     fixture.makeNestedCall("q1.1");
     fixture.out.clear();
+    EXPECT_TRUE(fixture.subject.servesLink(callerLink));
     fixture.handle(link_closed { callerLink, {}, true });
     EXPECT_EQ(fixture.cancelFrames(), 1U);
+    EXPECT_FALSE(fixture.subject.servesLink(callerLink));
 }
 
 // A backend server may complete an order although its caller is gone, and must be able to.
@@ -164,4 +166,15 @@
     EXPECT_EQ(fixture.callFrames().size(), 1U);
 }
 
+// The cancel of a caller that is cut off, paused or without power does not arrive.
+TEST(abandoned_work, endsAfterTheDeadlineOfItsCallWithoutACancel)
+{
+    serving_fixture fixture;
+    fixture.serve(1, "q1");
+    fixture.advance(1550ms);
+    EXPECT_TRUE(fixture.take<cancel_on_backend>().empty()) << "the response that is due now was given up";
+    fixture.advance(200ms);
+    EXPECT_EQ(fixture.take<cancel_on_backend>().size(), 1U);
+}
+
 } // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -99,6 +99,7 @@
     if (now >= servingDeadline())
         refuseQueued(refusal_reason::draining, now, out);
     applyAdmission(admissionControl.expire(now), now, out);
+    cancelOverdueServing(now, out);
     retries.setNodeCount(peers.size() + 1);
     checkCandidate(now, out);
     expirePeers(now, out);
@@ -123,6 +124,8 @@
         next = std::min(next, candidate.checkAt);
     if (admissionControl.queued() > 0)
         next = std::min(next, servingDeadline());
+    if (!servingDeadlines.empty())
+        next = std::min(next, servingDeadlines.begin()->first + cancelGrace);
     for (const auto& [address, each] : unknownNodes)
         next = std::min(next, each.requestedAt + statusRequestInterval);
     return next;
@@ -152,6 +155,12 @@
 
 bool node::idle() const { return m_state->calls.empty() && m_state->serving.empty(); }
 
+bool node::servesLink(std::uint64_t link) const
+{
+    const auto first = m_state->servingByKey.lower_bound({ link, 0 });
+    return first != m_state->servingByKey.end() && first->first.link == link;
+}
+
 node_statistics node::statistics(time_point now) const
 {
     auto counts = m_state->counts;
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -99,6 +99,7 @@
     heldBytes += kept.bodyBytes;
     kept.content = std::move(call);
     kept.content.remaining_us = remaining.count();
+    servingDeadlines.emplace(kept.deadline, servingId);
     serving.emplace(servingId, std::move(kept));
     servingByKey[key] = servingId;
     offer(servingId, now, out);
@@ -159,6 +160,7 @@
     auto removed = std::move(found->second);
     serving.erase(found);
     servingByKey.erase({ removed.link, removed.id });
+    servingDeadlines.erase({ removed.deadline, servingId });
     heldBytes -= removed.bodyBytes;
     return removed;
 }
@@ -304,6 +306,16 @@
     }
 }
 
+/// Cancels calls whose callers have given up by now. Their own cancel may not arrive: the link may be cut, or the
+/// calling node may have stopped.
+void node::state::cancelOverdueServing(time_point now, actions& out)
+{
+    while (!servingDeadlines.empty() && servingDeadlines.begin()->first + cancelGrace <= now) {
+        const auto& call = serving.at(servingDeadlines.begin()->second);
+        cancelServing({ call.link, call.id }, "deadline", now, out);
+    }
+}
+
 void node::state::cancelLinkServing(std::uint64_t link, time_point now, actions& out)
 {
     std::vector<serving_key> keys;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -20,6 +20,10 @@
 constexpr duration statusRequestInterval = std::chrono::milliseconds(500);
 constexpr duration statusRequestTimeout = std::chrono::seconds(10);
 
+/// After its deadline, a call that is being served waits this long for its cancel, or for the response that its backend
+/// server gives then.
+constexpr duration cancelGrace = std::chrono::milliseconds(200);
+
 /// One send of a request to a node, which has not ended.
 struct attempt_in_flight {
     std::uint64_t id = 0;
@@ -162,6 +166,7 @@
     admission admissionControl;
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingByKey;
+    std::set<std::pair<time_point, std::uint64_t>> servingDeadlines; ///< of the calls in serving
     std::uint64_t nextServingId = 1;
     call_tree tree;
     double latency = 0; ///< recent mean in microseconds; 0: unknown
@@ -173,6 +178,7 @@
     void serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
+    void cancelOverdueServing(time_point now, actions& out);
     void cancelNestedCalls(std::uint64_t execution, time_point now, actions& out);
     void cancelLinkServing(std::uint64_t link, time_point now, actions& out);
     void handleBackendResult(backend_result result, time_point now, actions& out);
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -151,7 +151,8 @@
                     { { "peer", toText(closed.peer) }, { "opened", closed.established ? "1" : "0" } } });
             handle(std::move(closed));
         },
-        [this](mesh::link_suspected suspected) { handle(std::move(suspected)); } };
+        [this](mesh::link_suspected suspected) { handle(std::move(suspected)); },
+        [this](std::uint64_t link) { return node.servesLink(link); } };
 }
 
 result<void> mesh_daemon::state::start()
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -67,6 +67,8 @@
     void handleReady(std::uint64_t serial, std::uint32_t events);
     bool readFrames(std::uint64_t serial, std::uint32_t events);
     void close(std::uint64_t serial);
+    bool hasExpired(const link& peerLink, time_point now) const;
+    bool pingDue(const link& peerLink, time_point now) const;
     void checkTimeouts();
 };
 
@@ -122,6 +124,7 @@
         peerLink.serial = serial;
         peerLink.openedAt = bootTime();
         peerLink.lastReceived = peerLink.openedAt;
+        setAckTimeout(descriptor, options.callerAckTimeout);
         peerLink.socket
             = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
     }
@@ -241,23 +244,37 @@
     callbacks.closed(closed);
 }
 
+bool frame_links::state::hasExpired(const link& peerLink, time_point now) const
+{
+    const auto idleTime = now - std::max(peerLink.lastReceived, peerLink.lastSent);
+    const bool connectTimedOut = peerLink.connecting && now - peerLink.openedAt > options.connectTimeout;
+    const bool pingTimedOut
+        = peerLink.outgoing && peerLink.pingSentAt != time_point {} && now - peerLink.pingSentAt > options.pingTimeout;
+    return connectTimedOut || pingTimedOut || idleTime > options.idleTimeout;
+}
+
+/// A link that the peer opened needs no reply to a ping: a peer that is paused does not give up its calls.
+bool frame_links::state::pingDue(const link& peerLink, time_point now) const
+{
+    const auto silence = now - std::max(peerLink.lastReceived, peerLink.pingSentAt);
+    if (!peerLink.outgoing)
+        return silence > options.callerPingAfter && callbacks.working(peerLink.serial);
+    return !peerLink.connecting && peerLink.pingSentAt == time_point {} && peerLink.expectedReplies > 0
+        && silence > options.pingAfter;
+}
+
 void frame_links::state::checkTimeouts()
 {
     const auto now = bootTime();
     std::vector<std::uint64_t> expired;
     std::vector<socket_address> suspected;
     for (auto& [serial, peerLink] : links) {
-        const auto idleTime = now - std::max(peerLink.lastReceived, peerLink.lastSent);
-        const bool connectTimedOut = peerLink.connecting && now - peerLink.openedAt > options.connectTimeout;
-        const bool pingTimedOut
-            = peerLink.pingSentAt != time_point {} && now - peerLink.pingSentAt > options.pingTimeout;
-        if (connectTimedOut || pingTimedOut || idleTime > options.idleTimeout)
+        if (hasExpired(peerLink, now))
             expired.push_back(serial);
-        else if (peerLink.outgoing && !peerLink.connecting && peerLink.pingSentAt == time_point {}
-            && peerLink.expectedReplies > 0 && now - peerLink.lastReceived > options.pingAfter) {
+        else if (pingDue(peerLink, now)) {
             peerLink.pingSentAt = now;
             sendFrame(peerLink, frame_kind::ping, {});
-        } else if (peerLink.pingSentAt != time_point {} && !peerLink.suspected
+        } else if (peerLink.outgoing && peerLink.pingSentAt != time_point {} && !peerLink.suspected
             && now - peerLink.pingSentAt > options.suspectAfter) {
             peerLink.suspected = true;
             suspected.push_back(peerLink.peer);
--- a/src/libproxy/proxy_links_test.cpp
+++ b/src/libproxy/proxy_links_test.cpp
@@ -10,16 +10,19 @@
 namespace {
 
 constexpr std::uint16_t peerPort = 17631;
+constexpr std::uint16_t linksPort = 17632;
 
 struct links_fixture {
     reactor loop;
     int listener = openSocket(peerPort, true);
     std::vector<mesh::link_suspected> suspected;
     std::vector<mesh::link_closed> closed;
-    frame_links links { loop, { "127.0.0.1", 17632 },
+    bool working = false; ///< on messages of the peer
+    frame_links links { loop, { "127.0.0.1", linksPort },
         { [](const mesh::frame_received&) {},
             [this](const mesh::link_closed& notification) { closed.push_back(notification); },
-            [this](const mesh::link_suspected& notification) { suspected.push_back(notification); } } };
+            [this](const mesh::link_suspected& notification) { suspected.push_back(notification); },
+            [this](std::uint64_t) { return working; } } };
 
     links_fixture() { EXPECT_TRUE(links.listen()); }
     ~links_fixture() { close(listener); }
@@ -76,6 +79,35 @@
     close(peer);
 }
 
+// A caller may be gone without a word, as after a power failure, and its system then rejects the ping. The node went on
+// working for it, since it sent nothing over the link before the response.
+TEST(links, peerWhoseCallIsWorkedOnIsPinged)
+{
+    links_fixture fixture;
+    const int caller = openSocket(linksPort, false);
+    runFor(fixture.loop, 1200ms);
+    char byte = 0;
+    EXPECT_EQ(recv(caller, &byte, 1, MSG_DONTWAIT), -1) << "a link without work was pinged";
+    fixture.working = true;
+    runFor(fixture.loop, 500ms);
+    std::array<char, 8> ping {};
+    EXPECT_EQ(recv(caller, ping.data(), ping.size(), MSG_DONTWAIT), 5);
+    EXPECT_EQ(ping[4], 1);
+    close(caller);
+}
+
+// A caller that is paused for longer than a link may be silent still takes its response.
+TEST(links, callerThatDoesNotReplyToPingsKeepsItsLink)
+{
+    links_fixture fixture;
+    fixture.working = true;
+    const int caller = openSocket(linksPort, false);
+    runFor(fixture.loop, 4s);
+    EXPECT_TRUE(fixture.closed.empty());
+    EXPECT_TRUE(fixture.suspected.empty());
+    close(caller);
+}
+
 // A message that followed one whose link could not be opened was sent over a new link, and then reported as unsent
 // along with the first: the caller sent the request again elsewhere. The report named link 0, which stands for the
 // calls of the node's own clients.
--- a/src/libproxy/proxy_sockets_test.h
+++ b/src/libproxy/proxy_sockets_test.h
@@ -51,6 +51,12 @@
     rlimit m_before {};
 };
 
+inline void runFor(reactor& loop, duration length)
+{
+    loop.callAt(bootTime() + length, [&loop] { loop.quit(); });
+    loop.run();
+}
+
 /// Runs the loop until the condition holds or two seconds have passed. Returns whether it holds.
 inline bool runUntil(reactor& loop, const std::function<bool()>& condition)
 {
--- a/src/libproxy/sockets.cpp
+++ b/src/libproxy/sockets.cpp
@@ -113,6 +113,12 @@
     return poll(&request, 1, 0) > 0;
 }
 
+void setAckTimeout(int descriptor, duration ackTimeout)
+{
+    const auto timeout = static_cast<unsigned>(std::chrono::ceil<std::chrono::milliseconds>(ackTimeout).count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
 int startConnect(const socket_address& address, duration ackTimeout)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -120,8 +126,7 @@
         return -1;
     const int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const auto timeout = static_cast<unsigned>(std::chrono::ceil<std::chrono::milliseconds>(ackTimeout).count());
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    setAckTimeout(descriptor, ackTimeout);
     const auto native = toSockaddr(address);
     if (connect(descriptor, reinterpret_cast<const sockaddr*>(&native), sizeof native) == 0 || errno == EINPROGRESS)
         return descriptor;
--- a/src/libproxy/sockets.h
+++ b/src/libproxy/sockets.h
@@ -23,8 +23,9 @@
 constexpr duration acceptRetryInterval = std::chrono::milliseconds(100);
 /// Whether errno tells that the process or the system lacks descriptors or memory.
 bool lacksDescriptors();
-/// Starts a connect. Returns -1 if it fails immediately. The connection is dropped if sent data stays unacknowledged
-/// for ackTimeout (TCP_USER_TIMEOUT).
+/// Lets the system drop the connection if sent data stays unacknowledged for ackTimeout (TCP_USER_TIMEOUT).
+void setAckTimeout(int descriptor, duration ackTimeout);
+/// Starts a connect. Returns -1 if it fails immediately. Sets the ackTimeout of the connection.
 int startConnect(const socket_address& address, duration ackTimeout);
 /// Returns whether a connect begun by startConnect() succeeded.
 bool connectSucceeded(int descriptor);
