Let calls in progress of a cancelled execution end by themselves

Cause: answered the calls in flight of a cancelled execution with 502. The server that had made the call ignores closed connections and was still waiting: for it, that is work broken off and replaced.

Change: only further calls of a cancelled execution are refused. One in flight ends when its own caller closes its connection, which a server does that notices the cancel, or else with its work; it has a deadline.

--- a/src/libmesh/call_tree.cpp
+++ b/src/libmesh/call_tree.cpp
@@ -83,9 +83,9 @@
     for (auto end = requestId.rfind('.'); end != std::string::npos && end > 0; end = requestId.rfind('.', end - 1)) {
         const auto prefix = requestId.substr(0, end);
         if (const auto found = m_byRequestId.find(prefix); found != m_byRequestId.end())
-            return parent_match { true, false, found->second, true, childPosition(m_executions.at(found->second)) };
+            return parent_match { true, false, found->second, childPosition(m_executions.at(found->second)) };
         if (m_abandoned.contains(prefix))
-            return parent_match { true, true, std::nullopt, true, {} };
+            return parent_match { true, true, std::nullopt, {} };
     }
     return std::nullopt;
 }
@@ -101,7 +101,7 @@
         const auto position = childPosition(m_executions.at(each->second));
         ++candidates;
         if (candidates == 1)
-            match = { true, false, each->second, false, position };
+            match = { true, false, each->second, position };
         else {
             match.execution.reset();
             match.position.rootRank = std::max(match.position.rootRank, position.rootRank);
--- a/src/libmesh/call_tree.h
+++ b/src/libmesh/call_tree.h
@@ -29,7 +29,6 @@
         bool found = false; ///< at least one execution matches
         bool abandoned = false; ///< the execution that makes the call was cancelled; nobody waits for it
         std::optional<std::uint64_t> execution; ///< empty unless exactly one matches
-        bool named = false; ///< the request id names the execution
         tree_position position; ///< of the nested call; with several matches the least favourable one
     };
 
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -147,7 +147,6 @@
         : tree.findParent(call.request.requestId, now + call.request.deadline.value_or(duration(0)));
     const bool isRoot = owner || (config->content().teams.empty() && !match.found);
     call.parent = match.execution;
-    call.parentNamed = match.named;
     call.callerGone = match.abandoned;
     call.position = isRoot ? root : match.position;
     call.importance = isRoot ? rootPriority(root) : nestedPriority(call.position);
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -266,15 +266,15 @@
     endExecution(servingId, call, now, out);
 }
 
-/// Ends the execution of a cancelled call, and what it has caused elsewhere.
+/// Ends the execution of a cancelled call. Its nested calls in flight end when the backend server closes their
+/// connections: as long as it does not, it may still use their responses.
 void node::state::endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out)
 {
     out.emplace_back(cancel_on_backend { servingId });
     // A backend server may finish a non-idempotent request although its connection is closed.
-    if (call.content.idempotent) {
+    if (call.content.idempotent)
         tree.executionAbandoned(servingId, now);
-        cancelNestedCalls(servingId, now, out);
-    } else
+    else
         tree.executionEnded(servingId, false);
     if (call.generation != backend.generation)
         return;
@@ -287,25 +287,6 @@
         now, out);
 }
 
-/// Cancels the idempotent calls that a cancelled execution is waiting for. Its backend server may notice late, or
-/// never, that it was cancelled.
-void node::state::cancelNestedCalls(std::uint64_t execution, time_point now, actions& out)
-{
-    std::vector<std::uint64_t> nested;
-    for (const auto& [id, call] : calls) {
-        if (call.parent == execution && call.parentNamed && call.matchedRoute->idempotent)
-            nested.push_back(id);
-    }
-    std::sort(nested.begin(), nested.end());
-    for (const auto id : nested) {
-        const auto found = calls.find(id);
-        if (found == calls.end())
-            continue;
-        cancelAttempts(found->second, "caller-gone", now, out);
-        answerWithRefusal(found->second, refusal_reason::connectionLost, duration(0), now, out);
-    }
-}
-
 /// Cancels calls whose callers have given up by now. Their own cancel may not arrive: the link may be cut, or the
 /// calling node may have stopped.
 void node::state::cancelOverdueServing(time_point now, actions& out)
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -41,7 +41,6 @@
     priority importance = lowestPriority;
     tree_position position;
     std::optional<std::uint64_t> parent; ///< execution of the local backend server that made it, if it is known
-    bool parentNamed = false; ///< its request id names the parent
     bool callerGone = false; ///< made by an execution that was cancelled
     time_point arrived {};
     time_point deadline {};
@@ -179,7 +178,6 @@
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
     void cancelOverdueServing(time_point now, actions& out);
-    void cancelNestedCalls(std::uint64_t execution, time_point now, actions& out);
     void cancelLinkServing(std::uint64_t link, time_point now, actions& out);
     void handleBackendResult(backend_result result, time_point now, actions& out);
     void startServing(std::uint64_t servingId, time_point now, actions& out);
