Read the configuration from the store at one node of each zone

Call and cancel needed a second.

Cause: every node watched the store. Each version of 1,400 routes, about half a megabyte as the store sends it, crossed the 60 Mbit/s between the regions 37 times, and a watch that lagged also carried the versions in between: more than the link bears, so that all else queued behind it. Class of fault: work that each node does for itself and that one can do for all.

Change: the first live node of a zone that reaches the store reads the configuration. The others learn of a new version from statuses, as before, and request it at once from the nearest node that has it, chosen at random. A node reads for itself when the first ones are silent for 1.1 s, say that they have lost the store (new in statuses), or send nothing for 1 s. It goes on watching for 5 s after it has ceased to be first.

Tests: configuration_source.* (new), registry.neitherReadsNorWatchesTheConfigurationWhileOtherNodesDo.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -108,6 +108,7 @@
         std::vector<store_call> calls;
         std::optional<std::string> document; ///< configuration as read from the store
         std::optional<store_revision> watchFrom; ///< revision from which to watch the configuration
+        bool unwatch = false; ///< ends the watch of the configuration
         std::optional<std::vector<std::string>> entries; ///< values of all node entries
         std::vector<log_event> log;
     };
@@ -119,6 +120,9 @@
     void configurationChanged(const std::string& document, outcome& out);
     /// Schedules a new read of the configuration after its watch ended.
     void watchEnded(time_point now);
+    /// Reads and watches the configuration while that is wanted, and for a while after.
+    void readConfiguration(bool wanted, time_point now, outcome& out);
+    bool storeReachable() const { return m_storeReachable; }
     /// Revokes the lease and with it the entry. Afterwards only the configuration is still read.
     void leave(outcome& out);
     /// Returns the time at which tick() has to be called next.
@@ -144,6 +148,8 @@
     bool m_written = false; ///< the entry is written under the current lease
     bool m_listed = false; ///< the nodes were listed since the entry was written
     bool m_storeReachable = true; ///< the store replied to the last call
+    bool m_readsConfiguration = true;
+    time_point m_readingWantedAt {}; ///< last time
     bool m_leftFleet = false;
 };
 
@@ -277,6 +283,10 @@
 struct nodes_listed {
     std::vector<listed_node> nodes;
 };
+/// The store replied to the last call, or did not.
+struct store_reachability {
+    bool reachable = true;
+};
 /// Starts a planned shutdown.
 struct leave_request { };
 struct tuning_changed {
@@ -285,7 +295,7 @@
 
 using event = std::variant<client_request, client_disconnected, backend_result, backend_heartbeat,
     backend_deregistration, backend_check_result, backend_reachability, frame_received, link_closed, link_suspected,
-    status_received, configuration_received, nodes_listed, leave_request, tuning_changed>;
+    status_received, configuration_received, nodes_listed, store_reachability, leave_request, tuning_changed>;
 
 struct send_response {
     std::uint64_t call = 0;
@@ -372,6 +382,9 @@
     node_statistics statistics(time_point now) const;
     std::uint64_t configurationVersion() const;
     std::shared_ptr<const configuration_index> currentConfiguration() const;
+    /// Whether this node should read new configurations from the store: as the first node of its zone that can, or
+    /// because it does not get them from other nodes.
+    bool readsConfiguration(time_point now) const;
 
 private:
     struct state;
--- a/src/libmesh/dissemination.cpp
+++ b/src/libmesh/dissemination.cpp
@@ -10,9 +10,6 @@
 
     // With two relays per availability zone, the loss of one only delays statuses.
     constexpr std::size_t relaysPerZone = 2;
-    // A relay without a status for this long is replaced. Shorter than statusTimeout, so that the other nodes still
-    // count as live when all relays are lost.
-    constexpr duration relayTimeout = std::chrono::milliseconds(1100);
     // Number of nodes that receive the bundles of a zone without a known relay.
     constexpr std::size_t fallbackReceivers = 4;
     // Between two bundles of a relay, including urgent ones.
@@ -83,6 +80,7 @@
     status.slots = self.slots;
     status.cold_ms = self.coldUntil > now ? static_cast<std::uint32_t>((self.coldUntil - now).count() / 1000) : 0;
     status.leaving = self.leaving;
+    status.store_lost = !storeReachable;
     status.configuration = config ? config->content().version : 0;
     status.load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
     for (const auto& each : rates.buildReports(now))
--- a/src/libmesh/load_balancing.h
+++ b/src/libmesh/load_balancing.h
@@ -37,6 +37,7 @@
     unsigned slots = 0;
     time_point coldUntil {}; ///< end of the cold start, during which it is slow
     bool leaving = false; ///< its node is shutting down
+    bool storeLost = false; ///< its node cannot reach the store
     std::uint64_t configurationVersion = 0; ///< held by its node
     endpoint_load load;
     time_point lastSeen {};
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -6,8 +6,10 @@
 namespace limpet::mesh {
 namespace {
 
-    // Nodes normally read a new configuration from the store; after this delay they request it from another node.
-    constexpr duration pullAfter = std::chrono::milliseconds(400);
+    // Between two requests for a new configuration, and before a node that reads it from the store makes one.
+    constexpr duration pullInterval = std::chrono::milliseconds(400);
+    // A node that does not get a new configuration from other nodes reads it from the store after this time.
+    constexpr duration maxPullTime = std::chrono::seconds(1);
     constexpr duration maxRetryAfter = std::chrono::seconds(10);
     // Datagrams of an earlier run of a node arrive no later than this after its last one.
     constexpr duration clockRollbackTimeout = std::chrono::milliseconds(1300);
@@ -128,6 +130,7 @@
             { { "peer", status.node }, { "state", std::to_string(status.state) }, { "backend", status.endpoint },
                 { "leaving", status.leaving ? "1" : "0" }, { "sequence", std::to_string(status.sequence) } });
     peer.leaving = status.leaving;
+    peer.storeLost = status.store_lost;
     peerNameByAddress[address] = status.node;
     unknownNodes.erase(address);
     std::vector<team_report> reports;
@@ -137,8 +140,10 @@
     rates.mergeReports(status.node, status.run, reports, now);
     const auto held = config ? config->content().version : 0;
     if (status.configuration > held && status.configuration > newestVersion) {
+        if (newestVersion <= held)
+            outdatedSince = now;
         newestVersion = status.configuration;
-        nextPullAt = now + (held == 0 ? duration(0) : pullAfter);
+        nextPullAt = now + (held == 0 || !readsConfiguration(now) ? duration(0) : pullInterval);
     }
 }
 
@@ -175,22 +180,50 @@
     }
 }
 
-void node::state::pullConfiguration(time_point now, actions& out)
+/// Returns one of the nearest live nodes with a newer configuration, or nullptr. Documents are large, and all nodes
+/// request one at about the same time.
+const endpoint* node::state::configurationSource(time_point now)
 {
     const auto held = config ? config->content().version : 0;
-    if (newestVersion <= held || now < nextPullAt)
-        return;
-    nextPullAt = now + pullAfter;
-    // Request it from the nearest node that has it: documents are large, and all nodes request one at about the same
-    // time.
-    const endpoint* nearest = nullptr;
     const auto distance = [&](const endpoint& peer) {
         return peer.region != options.region ? 2 : peer.availabilityZone != options.availabilityZone ? 1 : 0;
     };
+    std::vector<const endpoint*> nearest;
     for (const auto& [name, peer] : peers) {
-        if (peer.configurationVersion > held && isLive(peer, now) && (!nearest || distance(peer) < distance(*nearest)))
-            nearest = &peer;
+        if (peer.configurationVersion <= held || !isLive(peer, now))
+            continue;
+        if (!nearest.empty() && distance(peer) < distance(*nearest.front()))
+            nearest.clear();
+        if (nearest.empty() || distance(peer) == distance(*nearest.front()))
+            nearest.push_back(&peer);
     }
+    if (nearest.empty())
+        return nullptr;
+    const auto drawn = static_cast<std::size_t>(random.uniform() * static_cast<double>(nearest.size()));
+    return nearest[std::min(drawn, nearest.size() - 1)];
+}
+
+/// A configuration read by every node would cross the links between regions once for each of them, and hold up all
+/// other traffic there.
+bool node::state::readsConfiguration(time_point now) const
+{
+    const auto held = config ? config->content().version : 0;
+    if (newestVersion > held && now - outdatedSince > maxPullTime)
+        return true;
+    return std::none_of(peers.begin(), peers.end(), [&](const auto& each) {
+        const auto& peer = each.second;
+        return peer.availabilityZone == options.availabilityZone && peer.node < options.name && !peer.leaving
+            && !peer.storeLost && now - peer.lastSeen <= scaleInterval(relayTimeout);
+    });
+}
+
+void node::state::pullConfiguration(time_point now, actions& out)
+{
+    const auto held = config ? config->content().version : 0;
+    if (newestVersion <= held || now < nextPullAt)
+        return;
+    nextPullAt = now + pullInterval;
+    const auto* nearest = configurationSource(now);
     if (!nearest)
         return;
     wire::frame_data frame;
@@ -211,6 +244,7 @@
     config = std::move(received.content);
     document = std::move(received.document);
     newestVersion = std::max(newestVersion, version);
+    outdatedSince = now;
     rates.configure(config->content().teams, now);
     serviceCredit.clear();
     urgentStatusDue = true;
--- /dev/null
+++ b/src/libmesh/mesh_configuration_source_test.cpp
@@ -0,0 +1,82 @@
+// Guards that few nodes read the configuration from the store: a configuration that each node read for itself filled
+// the link between two regions, so that calls and their cancels crossed it a second late.
+
+#include "mesh_peers_test.h"
+
+using namespace limpet;
+using namespace limpet::mesh;
+using namespace limpet::mesh::testing_support;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A node with two peers of its zone whose names come before its own.
+struct later_node : node_with_peers {
+    later_node()
+        : node_with_peers("stock")
+    {
+        namePrefix = "0-";
+        refreshPeers();
+        out.clear();
+    }
+
+    bool readsConfiguration() const { return subject.readsConfiguration(now); }
+
+    /// Removes the frames that were sent and returns how many of them request the configuration.
+    std::size_t pulls()
+    {
+        const auto sent = take<send_frame>();
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const send_frame& each) {
+            const auto frame = parseFrame(each.bytes);
+            return frame && frame->configuration_pull;
+        }));
+    }
+};
+
+TEST(configuration_source, isTheStoreForTheFirstNodeOfAZone)
+{
+    node_with_peers first("stock");
+    EXPECT_TRUE(first.subject.readsConfiguration(first.now));
+    later_node later;
+    EXPECT_FALSE(later.readsConfiguration());
+}
+
+TEST(configuration_source, isTheStoreWhenTheFirstNodesAreSilent)
+{
+    later_node node;
+    node.now += 1200ms;
+    EXPECT_TRUE(node.readsConfiguration());
+}
+
+TEST(configuration_source, isTheStoreWhenTheFirstNodesHaveLostIt)
+{
+    later_node node;
+    node.storeLost = true;
+    node.refreshPeers();
+    EXPECT_TRUE(node.readsConfiguration());
+}
+
+TEST(configuration_source, isAnotherNodeAtOnceForTheOthers)
+{
+    later_node node;
+    node.configurationVersion = 2;
+    node.refreshPeers();
+    node.advance(1ms);
+    EXPECT_EQ(node.pulls(), 1U);
+}
+
+// The link to the node that has the configuration may be silent.
+TEST(configuration_source, isTheStoreWhenNoNodeSendsTheConfiguration)
+{
+    later_node node;
+    node.configurationVersion = 2;
+    node.refreshPeers();
+    EXPECT_FALSE(node.readsConfiguration());
+    node.now += 1100ms;
+    node.refreshPeers();
+    EXPECT_TRUE(node.readsConfiguration());
+    node.configure(sampleConfiguration(2));
+    EXPECT_FALSE(node.readsConfiguration());
+}
+
+} // namespace
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -1090,6 +1090,7 @@
             uint16_t port = 0;
             bool news = false;
             std::vector<limpet::mesh::wire::team_count> uses {};
+            bool store_lost = false;
             status_data() = default;
             status_data(const status_data& o);
             status_data(status_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1117,7 +1118,8 @@
                 VT_IP = 34,
                 VT_PORT = 36,
                 VT_NEWS = 38,
-                VT_USES = 40
+                VT_USES = 40,
+                VT_STORE_LOST = 42
             };
             const flatbuffers::String* node() const { return GetPointer<const flatbuffers::String*>(VT_NODE); }
             uint64_t run() const { return GetField<uint64_t>(VT_RUN, 0); }
@@ -1146,6 +1148,7 @@
             {
                 return GetPointer<const flatbuffers::Vector<const limpet::mesh::wire::team_count*>*>(VT_USES);
             }
+            bool store_lost() const { return GetField<uint8_t>(VT_STORE_LOST, 0) != 0; }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_NODE) && verifier.VerifyString(node())
@@ -1160,7 +1163,8 @@
                     && verifier.VerifyTable(load()) && VerifyField<uint8_t>(verifier, VT_INTRODUCE, 1)
                     && VerifyOffset(verifier, VT_IP) && verifier.VerifyString(ip())
                     && VerifyField<uint16_t>(verifier, VT_PORT, 2) && VerifyField<uint8_t>(verifier, VT_NEWS, 1)
-                    && VerifyOffset(verifier, VT_USES) && verifier.VerifyVector(uses()) && verifier.EndTable();
+                    && VerifyOffset(verifier, VT_USES) && verifier.VerifyVector(uses())
+                    && VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) && verifier.EndTable();
             }
             status_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(status_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -1217,6 +1221,10 @@
             {
                 fbb_.AddOffset(status::VT_USES, uses);
             }
+            void add_store_lost(bool store_lost)
+            {
+                fbb_.AddElement<uint8_t>(status::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
+            }
             explicit statusBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -1238,7 +1246,8 @@
             uint8_t state = 0, uint32_t slots = 0, uint32_t cold_ms = 0, bool leaving = false,
             uint64_t configuration = 0, flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
             bool introduce = false, flatbuffers::Offset<flatbuffers::String> ip = 0, uint16_t port = 0,
-            bool news = false, flatbuffers::Offset<flatbuffers::Vector<const limpet::mesh::wire::team_count*>> uses = 0)
+            bool news = false, flatbuffers::Offset<flatbuffers::Vector<const limpet::mesh::wire::team_count*>> uses = 0,
+            bool store_lost = false)
         {
             statusBuilder builder_(_fbb);
             builder_.add_configuration(configuration);
@@ -1255,6 +1264,7 @@
             builder_.add_region(region);
             builder_.add_node(node);
             builder_.add_port(port);
+            builder_.add_store_lost(store_lost);
             builder_.add_news(news);
             builder_.add_introduce(introduce);
             builder_.add_leaving(leaving);
@@ -1268,7 +1278,7 @@
             uint8_t state = 0, uint32_t slots = 0, uint32_t cold_ms = 0, bool leaving = false,
             uint64_t configuration = 0, flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
             bool introduce = false, const char* ip = nullptr, uint16_t port = 0, bool news = false,
-            const std::vector<limpet::mesh::wire::team_count>* uses = nullptr)
+            const std::vector<limpet::mesh::wire::team_count>* uses = nullptr, bool store_lost = false)
         {
             auto node__ = node ? _fbb.CreateString(node) : 0;
             auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1279,7 +1289,7 @@
             auto uses__ = uses ? _fbb.CreateVectorOfStructs<limpet::mesh::wire::team_count>(*uses) : 0;
             return limpet::mesh::wire::Createstatus(_fbb, node__, run, sequence, region__, availability_zone__,
                 service__, endpoint__, state, slots, cold_ms, leaving, configuration, load, introduce, ip__, port, news,
-                uses__);
+                uses__, store_lost);
         }
 
         flatbuffers::Offset<status> Createstatus(flatbuffers::FlatBufferBuilder& _fbb, const status_data* _o,
@@ -2213,6 +2223,7 @@
             , port(o.port)
             , news(o.news)
             , uses(o.uses)
+            , store_lost(o.store_lost)
         {
         }
 
@@ -2236,6 +2247,7 @@
             std::swap(port, o.port);
             std::swap(news, o.news);
             std::swap(uses, o.uses);
+            std::swap(store_lost, o.store_lost);
             return *this;
         }
 
@@ -2334,6 +2346,10 @@
                     }
                 }
             }
+            {
+                auto _e = store_lost();
+                _o->store_lost = _e;
+            }
         }
 
         inline flatbuffers::Offset<status> status::Pack(flatbuffers::FlatBufferBuilder& _fbb, const status_data* _o,
@@ -2371,9 +2387,10 @@
             auto _port = _o->port;
             auto _news = _o->news;
             auto _uses = _o->uses.size() ? _fbb.CreateVectorOfStructs(_o->uses) : 0;
+            auto _store_lost = _o->store_lost;
             return limpet::mesh::wire::Createstatus(_fbb, _node, _run, _sequence, _region, _availability_zone, _service,
                 _endpoint, _state, _slots, _cold_ms, _leaving, _configuration, _load, _introduce, _ip, _port, _news,
-                _uses);
+                _uses, _store_lost);
         }
 
         inline bundle_data::bundle_data(const bundle_data& o)
--- a/src/libmesh/mesh_peers_test.h
+++ b/src/libmesh/mesh_peers_test.h
@@ -37,6 +37,8 @@
             status.slots = 10;
             status.ip = addressOf(number).ip;
             status.port = addressOf(number).port;
+            status.configuration = configurationVersion;
+            status.store_lost = storeLost;
             status.load = std::make_unique<wire::load_report_data>();
             status.load->limit = 10;
             handle(status_received { addressOf(number), encodeStatus(status) });
@@ -100,6 +102,8 @@
     unsigned peerCount = 2;
     std::string namePrefix = "peer-";
     std::uint64_t run = 1; ///< of the peers
+    std::uint64_t configurationVersion = 0; ///< held by the peers
+    bool storeLost = false; ///< for the peers
     std::uint64_t statusSequence = 0;
 };
 
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -140,4 +140,38 @@
     EXPECT_EQ(configurationReads(fixture), before + 1);
 }
 
+// Each read and each event of a watch transfers the whole configuration.
+TEST(registry, neitherReadsNorWatchesTheConfigurationWhileOtherNodesDo)
+{
+    registry_fixture fixture;
+    fixture.runFor(1s);
+    mesh::registry::outcome out;
+    for (int second = 0; second < 7 && !out.unwatch; ++second) {
+        fixture.subject.readConfiguration(false, fixture.now, out);
+        fixture.runFor(1s);
+    }
+    EXPECT_TRUE(out.unwatch);
+    const auto before = configurationReads(fixture);
+    fixture.subject.watchEnded(fixture.now);
+    fixture.store.unavailable = true;
+    fixture.runFor(4s);
+    fixture.store.unavailable = false;
+    fixture.runFor(1s);
+    EXPECT_EQ(configurationReads(fixture), before);
+}
+
+TEST(registry, readsTheConfigurationAtOnceWhenNoOtherNodeDoes)
+{
+    registry_fixture fixture;
+    mesh::registry::outcome out;
+    for (int second = 0; second < 7; ++second) {
+        fixture.subject.readConfiguration(false, fixture.now, out);
+        fixture.runFor(1s);
+    }
+    const auto before = configurationReads(fixture);
+    fixture.subject.readConfiguration(true, fixture.now, out);
+    fixture.runFor(100ms);
+    EXPECT_EQ(configurationReads(fixture), before + 1);
+}
+
 } // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -77,6 +77,11 @@
         void operator()(const status_received& each) const { own.receiveStatus(each, now, out); }
         void operator()(configuration_received& each) const { own.applyConfiguration(std::move(each), now, out); }
         void operator()(const nodes_listed& each) const { own.addListedNodes(each, now); }
+        void operator()(const store_reachability& each) const
+        {
+            own.storeReachable = each.reachable;
+            own.urgentStatusDue = true;
+        }
         void operator()(const tuning_changed& each) const
         {
             own.options.tuning = each.tuning;
@@ -179,4 +184,6 @@
 
 std::shared_ptr<const configuration_index> node::currentConfiguration() const { return m_state->config; }
 
+bool node::readsConfiguration(time_point now) const { return m_state->readsConfiguration(now); }
+
 } // namespace limpet::mesh
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -6,6 +6,8 @@
 
     constexpr std::array<const char*, 5> taskNames { "configuration", "lease", "entry", "keep", "list" };
     constexpr time_point never = time_point::max();
+    // The first nodes of a zone may change often for a while; each change costs a read of the whole configuration.
+    constexpr duration readingLinger = std::chrono::seconds(5);
 
 } // namespace
 
@@ -71,7 +73,7 @@
                     task.at = std::min(task.at, now);
             }
             // The watch may have lost its connection unnoticed, so the configuration is read again.
-            if (reached && which != task_kind::configuration)
+            if (reached && which != task_kind::configuration && m_readsConfiguration)
                 taskFor(task_kind::configuration).at = std::min(taskFor(task_kind::configuration).at, now);
             out.log.push_back({ reached ? "store_regained" : "store_lost",
                 { { "call", taskNames[index] }, { "reason", result.reply ? "" : result.reply.error().message } } });
@@ -92,7 +94,8 @@
         if (!got->entries.empty())
             configurationChanged(got->entries.front().value, out);
         // Watch even if there is no configuration yet, to see its creation.
-        out.watchFrom = got->head + 1;
+        if (m_readsConfiguration)
+            out.watchFrom = got->head + 1;
         break;
     }
     case task_kind::lease:
@@ -156,9 +159,23 @@
 
 void registry::configurationChanged(const std::string& document, outcome& out) { out.document = document; }
 
+void registry::readConfiguration(bool wanted, time_point now, outcome& out)
+{
+    if (wanted || m_readingWantedAt == time_point {})
+        m_readingWantedAt = now;
+    const bool reads = now - m_readingWantedAt <= readingLinger;
+    if (reads == m_readsConfiguration)
+        return;
+    m_readsConfiguration = reads;
+    out.unwatch = !reads;
+    auto& task = taskFor(task_kind::configuration);
+    if (task.token == 0)
+        task.at = reads ? now : never;
+}
+
 void registry::watchEnded(time_point now)
 {
-    if (taskFor(task_kind::configuration).token == 0)
+    if (m_readsConfiguration && taskFor(task_kind::configuration).token == 0)
         taskFor(task_kind::configuration).at
             = std::min(taskFor(task_kind::configuration).at, now + m_options.rewatchDelay);
 }
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -20,6 +20,9 @@
 constexpr duration statusRequestInterval = std::chrono::milliseconds(500);
 constexpr duration statusRequestTimeout = std::chrono::seconds(10);
 
+/// A relay, or the node that reads the configuration for its zone, is replaced after this time without a status.
+/// Shorter than statusTimeout, so that the other nodes still count as live when all relays are lost.
+constexpr duration relayTimeout = std::chrono::milliseconds(1100);
 /// After its deadline, a call that is being served waits this long for its cancel, or for the response that its backend
 /// server gives then.
 constexpr duration cancelGrace = std::chrono::milliseconds(200);
@@ -226,7 +229,9 @@
     };
     std::unordered_map<std::string, service_load> serviceLoads;
     std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
+    time_point outdatedSince {}; ///< when this node last knew of a newer version without progress
     time_point nextPullAt {};
+    bool storeReachable = true;
 
     void receiveFrame(frame_received received, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
@@ -246,6 +251,8 @@
     std::vector<std::string> relaysOf(const std::string& zone, time_point now) const;
     std::string ownStatus(bool replyRequested, time_point now);
     void pullConfiguration(time_point now, actions& out);
+    const endpoint* configurationSource(time_point now);
+    bool readsConfiguration(time_point now) const;
     void applyConfiguration(configuration_received received, time_point now, actions& out);
     void addListedNodes(const nodes_listed& listed, time_point now);
     void expirePeers(time_point now, actions& out);
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -220,6 +220,7 @@
         reportError("timer", exception);
     }
     handlePendingEvents();
+    chooseConfigurationSource();
 }
 
 /// One unexpected error must not end all requests of this process.
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -39,6 +39,7 @@
     std::uint64_t registryTimer = 0;
     std::unordered_map<std::uint64_t, std::uint64_t> exchangeByAttempt; ///< in the backend pool
     std::optional<store_watch_id> watch; ///< of the configuration
+    bool storeReachable = true;
     bool probing = false;
     bool stopping = false;
     bool handlingEvents = false;
@@ -69,6 +70,7 @@
     void applyConfiguration(const std::string& document);
     void tickRegistry();
     void execute(mesh::registry::outcome& outcome);
+    void chooseConfigurationSource();
     void startWatch(store_revision from);
     void reportListedNodes(const std::vector<std::string>& entries);
     bool idle() const;
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -50,12 +50,26 @@
         reportListedNodes(*outcome.entries);
     if (outcome.watchFrom)
         startWatch(*outcome.watchFrom);
+    if (outcome.unwatch && watch) {
+        store.unwatch(*watch);
+        watch.reset();
+    }
+    if (std::exchange(storeReachable, registry.storeReachable()) != registry.storeReachable())
+        handle(mesh::store_reachability { registry.storeReachable() });
     loop.cancelTimer(registryTimer);
     const auto next = registry.nextTimer();
     if (next != time_point::max())
         registryTimer = loop.callAt(next, [this] { tickRegistry(); });
 }
 
+/// Reads and watches the configuration if other nodes do not do it for this one.
+void mesh_daemon::state::chooseConfigurationSource()
+{
+    mesh::registry::outcome outcome;
+    registry.readConfiguration(node.readsConfiguration(bootTime()), bootTime(), outcome);
+    execute(outcome);
+}
+
 void mesh_daemon::state::startWatch(store_revision from)
 {
     if (watch)
