Do not execute a call that arrives together with its cancel

The node handled one frame after the other: the backend server got the call, and then its end.

Change: the calls of frames that were received together are served after the last of these frames, without those that one of them cancels. The same holds for a node that was paused and finds both in its socket.

Test: abandoned_work.callThatArrivesTogetherWithItsCancelIsNotExecuted.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -256,6 +256,7 @@
     socket_address peer; ///< if this node opened the link
     std::string bytes;
     duration delay { 0 }; ///< how long the frame may have waited in this process, which was paused
+    bool isLast = true; ///< no further frame was received together with it
 };
 struct link_closed {
     std::uint64_t link = 0;
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -25,14 +25,35 @@
     return peer == peers.end() ? nullptr : &peer->second;
 }
 
+/// Calls are served after all frames that were received together: a caller that left while they waited in the network
+/// must not have its call executed.
 void node::state::receiveFrame(frame_received received, time_point now, actions& out)
 {
-    auto parsed = parseFrame(received.bytes);
-    if (!parsed) {
+    if (auto parsed = parseFrame(received.bytes))
+        handleFrame(received, std::move(*parsed), now, out);
+    else
         log(out, "frame_ignored", { { "reason", parsed.error().message } });
+    if (!received.isLast)
+        return;
+    for (auto& each : std::exchange(receivedCalls, {}))
+        serve(each.link, std::move(each.content), each.delay, now, out);
+}
+
+/// Handles the caller's cancel of a call that is being served or is about to be.
+void node::state::cancelReceived(const serving_key& key, time_point now, actions& out)
+{
+    const auto found = std::find_if(receivedCalls.begin(), receivedCalls.end(),
+        [&](const received_call& each) { return each.link == key.link && each.content.id == key.id; });
+    if (found == receivedCalls.end()) {
+        cancelServing(key, "caller", now, out);
         return;
     }
-    auto& frame = *parsed;
+    log(out, "call_cancelled", { { "id", found->content.request_id }, { "reason", "with-its-call" } });
+    receivedCalls.erase(found);
+}
+
+void node::state::handleFrame(const frame_received& received, wire::frame_data frame, time_point now, actions& out)
+{
     const auto updateLoad = [&](const std::unique_ptr<wire::load_report_data>& load) {
         auto* peer = peerByAddress(received.peer);
         if (!peer || !load)
@@ -41,9 +62,9 @@
         peer->sentSinceReport = 0;
     };
     if (frame.call)
-        serve(received.link, std::move(*frame.call), received.delay, now, out);
+        receivedCalls.push_back({ received.link, std::move(*frame.call), received.delay });
     if (frame.cancel)
-        cancelServing({ received.link, frame.cancel->id }, "caller", now, out);
+        cancelReceived({ received.link, frame.cancel->id }, now, out);
     if (frame.answer) {
         updateLoad(frame.answer->load);
         http_answer answer;
--- a/src/libmesh/mesh_abandoned_work_test.cpp
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -31,6 +31,13 @@
 
     /// Handles a call of another node that the backend server starts to execute.
     void serve(std::uint64_t id, const std::string& requestId, bool idempotent = true)
+    {
+        receiveCall(id, requestId, idempotent);
+        EXPECT_EQ(take<run_on_backend>().size(), 1U);
+    }
+
+    /// isLast: no further frame was received together with the call.
+    void receiveCall(std::uint64_t id, const std::string& requestId, bool idempotent = true, bool isLast = true)
     {
         wire::frame_data frame;
         frame.call = std::make_unique<wire::call_request_data>();
@@ -42,8 +49,7 @@
         frame.call->idempotent = idempotent;
         frame.call->remaining_us = duration(1500ms).count();
         frame.call->queue_us = frame.call->remaining_us;
-        handle(frame_received { callerLink, {}, encodeFrame(frame) });
-        EXPECT_EQ(take<run_on_backend>().size(), 1U);
+        handle(frame_received { callerLink, {}, encodeFrame(frame), duration(0), isLast });
     }
 
     void cancel(std::uint64_t id)
@@ -173,4 +179,17 @@
     EXPECT_EQ(fixture.take<cancel_on_backend>().size(), 1U);
 }
 
+// A call and its cancel that waited in a full link between regions arrived together, a second after the client had
+// left, and the call was still sent to the backend server.
+TEST(abandoned_work, callThatArrivesTogetherWithItsCancelIsNotExecuted)
+{
+    serving_fixture fixture;
+    fixture.receiveCall(1, "q1", true, false);
+    fixture.receiveCall(2, "q2", true, false);
+    fixture.cancel(1);
+    const auto started = fixture.take<run_on_backend>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started.front().requestId, "q2");
+}
+
 } // namespace
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -81,6 +81,13 @@
     std::uint64_t generation = 0; ///< of the backend server that executes it
 };
 
+/// A call that was received together with further frames, which may cancel it.
+struct received_call {
+    std::uint64_t link = localLink;
+    wire::call_request_data content;
+    duration delay { 0 }; ///< how long it may have waited in this process
+};
+
 struct serving_key {
     std::uint64_t link = localLink;
     std::uint64_t id = 0;
@@ -166,6 +173,7 @@
     local_backend backend;
     backend_candidate candidate;
     admission admissionControl;
+    std::vector<received_call> receivedCalls; ///< of the frames that are being read
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingByKey;
     std::set<std::pair<time_point, std::uint64_t>> servingDeadlines; ///< of the calls in serving
@@ -234,6 +242,8 @@
     bool storeReachable = true;
 
     void receiveFrame(frame_received received, time_point now, actions& out);
+    void handleFrame(const frame_received& received, wire::frame_data frame, time_point now, actions& out);
+    void cancelReceived(const serving_key& key, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
     void receiveBundle(const status_received& received, time_point now, actions& out);
     void updatePeer(const wire::status_data& status, const std::string& bytes, time_point now, actions& out);
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -222,8 +222,8 @@
     peerLink.expectedReplies = std::max(0, peerLink.expectedReplies - static_cast<int>(messages.size()));
     if (wasSuspected)
         callbacks.suspected({ peer, false });
-    for (auto& message : messages)
-        callbacks.frame({ serial, peer, std::move(message) });
+    for (std::size_t index = 0; index < messages.size(); ++index)
+        callbacks.frame({ serial, peer, std::move(messages[index]), duration(0), index + 1 == messages.size() });
     if (outcome == read_outcome::more)
         loop.callAt(bootTime(), [this, serial, events] {
             if (links.contains(serial))
