Get a new configuration from the own zone before another region

A node that heard of a new version asked the nearest node that had it, at once or after 0.4 s, and again every 0.4 s until it came. Statuses cross the regions sooner than half a megabyte does, so that the nearest node with the version was one of the other region, for each of the 37 nodes, and a request was repeated before its answer could be there.

Change: a node that does not read the store asks only nodes of its zone at first, as soon as one of them has the version, after 0.4 s those of its region, and after 1.5 s without progress it reads the store. One that reads the store asks any region after 0.4 s, and another region once a second at most. A node without any configuration still asks anybody at once.

--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -239,7 +239,8 @@
     std::function<void(mesh::frame_received)> frame;
     std::function<void(mesh::link_closed)> closed; ///< a link was closed or could not be opened
     std::function<void(mesh::link_suspected)> suspected; ///< a suspicion began or ended
-    std::function<bool(std::uint64_t link)> working; ///< whether messages that arrived over the link are still worked on
+    std::function<bool(std::uint64_t link)>
+        working; ///< whether messages that arrived over the link are still worked on
 };
 
 struct frame_links_options {
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -9,7 +9,9 @@
     // Between two requests for a new configuration, and before a node that reads it from the store makes one.
     constexpr duration pullInterval = std::chrono::milliseconds(400);
     // A node that does not get a new configuration from other nodes reads it from the store after this time.
-    constexpr duration maxPullTime = std::chrono::seconds(1);
+    constexpr duration maxPullTime = std::chrono::milliseconds(1500);
+    // Between two requests to another region, where a large document may take longer than pullInterval to arrive.
+    constexpr duration otherRegionPullInterval = std::chrono::seconds(1);
     constexpr duration maxRetryAfter = std::chrono::seconds(10);
     // Datagrams of an earlier run of a node arrive no later than this after its last one.
     constexpr duration clockRollbackTimeout = std::chrono::milliseconds(1300);
@@ -27,7 +29,7 @@
 
 /// Calls are served after all frames that were received together: a caller that left while they waited in the network
 /// must not have its call executed.
-void node::state::receiveFrame(frame_received received, time_point now, actions& out)
+void node::state::receiveFrame(const frame_received& received, time_point now, actions& out)
 {
     if (auto parsed = parseFrame(received.bytes))
         handleFrame(received, std::move(*parsed), now, out);
@@ -160,12 +162,18 @@
         reports.push_back({ each.team(), each.admitted(), each.demand() });
     rates.mergeReports(status.node, status.run, reports, now);
     const auto held = config ? config->content().version : 0;
-    if (status.configuration > held && status.configuration > newestVersion) {
-        if (newestVersion <= held)
-            outdatedSince = now;
-        newestVersion = status.configuration;
-        nextPullAt = now + (held == 0 || !readsConfiguration(now) ? duration(0) : pullInterval);
-    }
+    if (status.configuration <= held)
+        return;
+    if (newestVersion <= held)
+        outdatedSince = now;
+    const bool isNews = status.configuration > newestVersion;
+    newestVersion = std::max(newestVersion, status.configuration);
+    const bool isOffered = status.availability_zone == options.availabilityZone
+        && status.configuration > requestedVersion && !readsConfiguration(now);
+    if (isOffered || (isNews && held == 0))
+        nextPullAt = now;
+    else if (isNews)
+        nextPullAt = now + pullInterval;
 }
 
 void node::state::addListedNodes(const nodes_listed& listed, time_point now)
@@ -202,16 +210,18 @@
 }
 
 /// Returns one of the nearest live nodes with a newer configuration, or nullptr. Documents are large, and all nodes
-/// request one at about the same time.
+/// request one at about the same time: for a while, only those of the own zone and then of the region are asked.
 const endpoint* node::state::configurationSource(time_point now)
 {
     const auto held = config ? config->content().version : 0;
     const auto distance = [&](const endpoint& peer) {
         return peer.region != options.region ? 2 : peer.availabilityZone != options.availabilityZone ? 1 : 0;
     };
+    const int elsewhere = held == 0 || readsConfiguration(now) ? 2 : 1;
+    const int maxDistance = held == 0 || now - outdatedSince >= pullInterval ? elsewhere : 0;
     std::vector<const endpoint*> nearest;
     for (const auto& [name, peer] : peers) {
-        if (peer.configurationVersion <= held || !isLive(peer, now))
+        if (peer.configurationVersion <= held || !isLive(peer, now) || distance(peer) > maxDistance)
             continue;
         if (!nearest.empty() && distance(peer) < distance(*nearest.front()))
             nearest.clear();
@@ -247,6 +257,9 @@
     const auto* nearest = configurationSource(now);
     if (!nearest)
         return;
+    if (nearest->region != options.region)
+        nextPullAt = now + otherRegionPullInterval;
+    requestedVersion = nearest->configurationVersion;
     wire::frame_data frame;
     frame.configuration_pull = std::make_unique<wire::configuration_request_data>();
     out.emplace_back(send_frame { nearest->address, encodeFrame(frame), 1 });
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -62,7 +62,7 @@
             if (!each.reachable)
                 own.refuseQueued(refusal_reason::noBackendServer, now, out);
         }
-        void operator()(frame_received& each) const { own.receiveFrame(std::move(each), now, out); }
+        void operator()(const frame_received& each) const { own.receiveFrame(each, now, out); }
         void operator()(const link_closed& each) const
         {
             own.cancelLinkServing(each.link, now, out);
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -238,10 +238,11 @@
     std::unordered_map<std::string, service_load> serviceLoads;
     std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
     time_point outdatedSince {}; ///< when this node last knew of a newer version without progress
+    std::uint64_t requestedVersion = 0; ///< held by the node that was last asked for its configuration
     time_point nextPullAt {};
     bool storeReachable = true;
 
-    void receiveFrame(frame_received received, time_point now, actions& out);
+    void receiveFrame(const frame_received& received, time_point now, actions& out);
     void handleFrame(const frame_received& received, wire::frame_data frame, time_point now, actions& out);
     void cancelReceived(const serving_key& key, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
