Name the distances of the nodes that are asked for a configuration

A newcomer would stop at the numbers 0 to 2 and at a condition in a condition. No behaviour changes; mesh_test's tests of the configuration's source pass.

--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -16,6 +16,8 @@
     // Datagrams of an earlier run of a node arrive no later than this after its last one.
     constexpr duration clockRollbackTimeout = std::chrono::milliseconds(1300);
 
+    enum class peer_distance : std::uint8_t { ownZone, ownRegion, otherRegion };
+
 } // namespace
 
 endpoint* node::state::peerByAddress(const socket_address& address)
@@ -215,10 +217,16 @@
 {
     const auto held = config ? config->content().version : 0;
     const auto distance = [&](const endpoint& peer) {
-        return peer.region != options.region ? 2 : peer.availabilityZone != options.availabilityZone ? 1 : 0;
+        if (peer.region != options.region)
+            return peer_distance::otherRegion;
+        return peer.availabilityZone == options.availabilityZone ? peer_distance::ownZone : peer_distance::ownRegion;
     };
-    const int elsewhere = held == 0 || readsConfiguration(now) ? 2 : 1;
-    const int maxDistance = held == 0 || now - outdatedSince >= pullInterval ? elsewhere : 0;
+    const bool waitedLong = now - outdatedSince >= pullInterval;
+    auto maxDistance = peer_distance::ownZone;
+    if (held == 0 || (waitedLong && readsConfiguration(now)))
+        maxDistance = peer_distance::otherRegion;
+    else if (waitedLong)
+        maxDistance = peer_distance::ownRegion;
     std::vector<const endpoint*> nearest;
     for (const auto& [name, peer] : peers) {
         if (peer.configurationVersion <= held || !isLive(peer, now) || distance(peer) > maxDistance)
