Measure, log and count how long frames wait on each link between nodes

Cause: a call that waited a second between the regions could not be told from one that was sent late; nothing measured the queue of a link. Change: each frame carries the time of its sender's clock. Its receiver takes the difference to its own clock; what lies above the least difference of that link is the time that the frame waited. No clocks are compared. link_delayed, link_regained and call_late are logged, limpet_link_delay_seconds counts, and configuration_received tells where each configuration came from and its size. The headers that flatc writes are formatted by make generate, as they were by hand.

--- a/Makefile
+++ b/Makefile
@@ -94,6 +94,7 @@
 		(cd src/$$library && flatc --cpp --scoped-enums --filename-suffix _generated *.fbs); \
 	done
 	cd src/libmesh && flatc --cpp --scoped-enums --gen-object-api --object-suffix _data --filename-suffix _generated *.fbs
+	clang-format -i src/libmesh/mesh_generated.h
 
 # Experiments on real processes over loopback; ONLY=NAME,... chooses some of them.
 measure: build
--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -347,7 +347,14 @@
     check_backend, load_configuration, log_event>;
 using actions = std::vector<action>;
 
+/// Upper bounds of the histogram of the delays of received frames. The last bucket has none.
+constexpr std::array<duration, 6> frameDelayBounds { std::chrono::milliseconds(10), std::chrono::milliseconds(50),
+    std::chrono::milliseconds(100), std::chrono::milliseconds(250), std::chrono::milliseconds(500),
+    std::chrono::seconds(1) };
+
 struct node_statistics {
+    /// Frames received from other nodes, by how much longer they were under way than the fastest one of their link.
+    std::array<std::uint64_t, frameDelayBounds.size() + 1> framesByDelay {};
     std::uint64_t answered = 0; ///< requests that got the response of a backend server
     std::uint64_t refused = 0; ///< requests refused with status 429 or 503
     std::uint64_t failed = 0; ///< requests refused with another status
--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -296,7 +296,7 @@
         wire::frame_data frame;
         frame.cancel = std::make_unique<wire::call_cancel_data>();
         frame.cancel->id = attempt.id;
-        out.emplace_back(send_frame { peer->second.address, encodeFrame(frame), -1 });
+        sendFrame(peer->second.address, std::move(frame), -1, now, out);
     }
 }
 
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -208,7 +208,7 @@
     }
     wire::frame_data frame;
     frame.call = std::make_unique<wire::call_request_data>(std::move(message));
-    out.emplace_back(send_frame { target->address, encodeFrame(frame), 1 });
+    sendFrame(target->address, std::move(frame), 1, now, out);
 }
 
 void node::state::cancelClientCall(std::uint64_t id, time_point now, actions& out)
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -33,9 +33,10 @@
 /// must not have its call executed.
 void node::state::receiveFrame(const frame_received& received, time_point now, actions& out)
 {
-    if (auto parsed = parseFrame(received.bytes))
-        handleFrame(received, std::move(*parsed), now, out);
-    else
+    if (auto parsed = parseFrame(received.bytes)) {
+        const auto delay = measureDelay(received, parsed->sent_ms, now, out);
+        handleFrame(received, std::move(*parsed), delay, now, out);
+    } else
         log(out, "frame_ignored", { { "reason", parsed.error().message } });
     if (!received.isLast)
         return;
@@ -56,7 +57,9 @@
     receivedCalls.erase(found);
 }
 
-void node::state::handleFrame(const frame_received& received, wire::frame_data frame, time_point now, actions& out)
+/// delay: how much longer the frame was under way than the fastest one of its link.
+void node::state::handleFrame(
+    const frame_received& received, wire::frame_data frame, duration delay, time_point now, actions& out)
 {
     const auto updateLoad = [&](const std::unique_ptr<wire::load_report_data>& load) {
         auto* peer = peerByAddress(received.peer);
@@ -65,6 +68,10 @@
         peer->load = unpackLoad(*load);
         peer->sentSinceReport = 0;
     };
+    if (frame.call && delay >= delayedLink)
+        log(out, "call_late",
+            { { "id", frame.call->request_id }, { "link", std::to_string(received.link) },
+                { "delay_ms", milliseconds(delay) }, { "paused_ms", milliseconds(received.delay) } });
     if (frame.call)
         receivedCalls.push_back({ received.link, std::move(*frame.call), received.delay });
     if (frame.cancel)
@@ -87,7 +94,7 @@
         wire::frame_data reply;
         reply.configuration_push = std::make_unique<wire::configuration_copy_data>();
         reply.configuration_push->document = document;
-        out.emplace_back(reply_frame { received.link, encodeFrame(reply) });
+        replyOver(received.link, std::move(reply), now, out);
     }
     if (frame.configuration_push)
         out.emplace_back(load_configuration { std::move(frame.configuration_push->document) });
@@ -270,7 +277,7 @@
     requestedVersion = nearest->configurationVersion;
     wire::frame_data frame;
     frame.configuration_pull = std::make_unique<wire::configuration_request_data>();
-    out.emplace_back(send_frame { nearest->address, encodeFrame(frame), 1 });
+    sendFrame(nearest->address, std::move(frame), 1, now, out);
 }
 
 void node::state::applyConfiguration(configuration_received received, time_point now, actions& out)
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -880,6 +880,7 @@
             std::unique_ptr<limpet::mesh::wire::call_cancel_data> cancel {};
             std::unique_ptr<limpet::mesh::wire::configuration_request_data> configuration_pull {};
             std::unique_ptr<limpet::mesh::wire::configuration_copy_data> configuration_push {};
+            uint32_t sent_ms = 0;
             frame_data() = default;
             frame_data(const frame_data& o);
             frame_data(frame_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -895,7 +896,8 @@
                 VT_FAILURE = 8,
                 VT_CANCEL = 10,
                 VT_CONFIGURATION_PULL = 12,
-                VT_CONFIGURATION_PUSH = 14
+                VT_CONFIGURATION_PUSH = 14,
+                VT_SENT_MS = 16
             };
             const limpet::mesh::wire::call_request* call() const
             {
@@ -921,6 +923,7 @@
             {
                 return GetPointer<const limpet::mesh::wire::configuration_copy*>(VT_CONFIGURATION_PUSH);
             }
+            uint32_t sent_ms() const { return GetField<uint32_t>(VT_SENT_MS, 0); }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_CALL) && verifier.VerifyTable(call())
@@ -929,7 +932,7 @@
                     && VerifyOffset(verifier, VT_CANCEL) && verifier.VerifyTable(cancel())
                     && VerifyOffset(verifier, VT_CONFIGURATION_PULL) && verifier.VerifyTable(configuration_pull())
                     && VerifyOffset(verifier, VT_CONFIGURATION_PUSH) && verifier.VerifyTable(configuration_push())
-                    && verifier.EndTable();
+                    && VerifyField<uint32_t>(verifier, VT_SENT_MS, 4) && verifier.EndTable();
             }
             frame_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(frame_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -966,6 +969,7 @@
             {
                 fbb_.AddOffset(frame::VT_CONFIGURATION_PUSH, configuration_push);
             }
+            void add_sent_ms(uint32_t sent_ms) { fbb_.AddElement<uint32_t>(frame::VT_SENT_MS, sent_ms, 0); }
             explicit frameBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -985,9 +989,10 @@
             flatbuffers::Offset<limpet::mesh::wire::call_failure> failure = 0,
             flatbuffers::Offset<limpet::mesh::wire::call_cancel> cancel = 0,
             flatbuffers::Offset<limpet::mesh::wire::configuration_request> configuration_pull = 0,
-            flatbuffers::Offset<limpet::mesh::wire::configuration_copy> configuration_push = 0)
+            flatbuffers::Offset<limpet::mesh::wire::configuration_copy> configuration_push = 0, uint32_t sent_ms = 0)
         {
             frameBuilder builder_(_fbb);
+            builder_.add_sent_ms(sent_ms);
             builder_.add_configuration_push(configuration_push);
             builder_.add_configuration_pull(configuration_pull);
             builder_.add_cancel(cancel);
@@ -2066,6 +2071,7 @@
             , configuration_push((o.configuration_push)
                       ? new limpet::mesh::wire::configuration_copy_data(*o.configuration_push)
                       : nullptr)
+            , sent_ms(o.sent_ms)
         {
         }
 
@@ -2077,6 +2083,7 @@
             std::swap(cancel, o.cancel);
             std::swap(configuration_pull, o.configuration_pull);
             std::swap(configuration_push, o.configuration_push);
+            std::swap(sent_ms, o.sent_ms);
             return *this;
         }
 
@@ -2123,6 +2130,10 @@
                     _o->configuration_push
                         = std::unique_ptr<limpet::mesh::wire::configuration_copy_data>(_e->UnPack(_resolver));
             }
+            {
+                auto _e = sent_ms();
+                _o->sent_ms = _e;
+            }
         }
 
         inline flatbuffers::Offset<frame> frame::Pack(flatbuffers::FlatBufferBuilder& _fbb, const frame_data* _o,
@@ -2151,8 +2162,9 @@
                 : 0;
             auto _configuration_push
                 = _o->configuration_push ? Createconfiguration_copy(_fbb, _o->configuration_push.get(), _rehasher) : 0;
+            auto _sent_ms = _o->sent_ms;
             return limpet::mesh::wire::Createframe(
-                _fbb, _call, _answer, _failure, _cancel, _configuration_pull, _configuration_push);
+                _fbb, _call, _answer, _failure, _cancel, _configuration_pull, _configuration_push, _sent_ms);
         }
 
         inline team_use_data* team_use::UnPack(const flatbuffers::resolver_function_t* _resolver) const
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -65,6 +65,7 @@
         void operator()(const frame_received& each) const { own.receiveFrame(each, now, out); }
         void operator()(const link_closed& each) const
         {
+            own.links.erase(each.link);
             own.cancelLinkServing(each.link, now, out);
             auto* peer = own.peerByAddress(each.peer);
             if (!peer)
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -195,7 +195,7 @@
     frame.failure->kind = static_cast<std::uint8_t>(kind);
     frame.failure->retry_after_us = retryAfter.count();
     frame.failure->load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
-    out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
+    replyOver(key.link, std::move(frame), now, out);
 }
 
 /// failure: 0 for a success, up to 1.
@@ -239,7 +239,7 @@
             frame.answer->body = *result.outcome->body;
         frame.answer->failed_below = failedBelow;
         frame.answer->load = std::make_unique<wire::load_report_data>(packLoad(ownLoad()));
-        out.emplace_back(reply_frame { key.link, encodeFrame(frame) });
+        replyOver(key.link, std::move(frame), now, out);
     } else
         sendFailure(key, result.outcome.error(), duration(0), now, out);
     if (current)
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -4,6 +4,7 @@
 
 #include "call_tree.h"
 #include "codec.h"
+#include "link_transit.h"
 #include "rate_estimator.h"
 #include "rate_limiter.h"
 #include "retry_budget.h"
@@ -27,6 +28,16 @@
 /// server gives then.
 constexpr duration cancelGrace = std::chrono::milliseconds(200);
 
+/// A link between nodes, opened by either of them.
+struct link_state {
+    link_transit transit;
+    time_point delayedSince = time_point::max(); ///< max: not delayed
+    duration peakDelay { 0 }; ///< since then
+};
+
+/// A link is reported as delayed when a frame was under way for this much longer than the fastest one.
+constexpr duration delayedLink = std::chrono::milliseconds(100);
+
 /// One send of a request to a node, which has not ended.
 struct attempt_in_flight {
     std::uint64_t id = 0;
@@ -216,6 +227,14 @@
     serving_call removeServing(std::uint64_t servingId);
     void endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out);
 
+    // ---- Links (transit.cpp) ----
+    std::unordered_map<std::uint64_t, link_state> links;
+
+    void sendFrame(
+        const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now, actions& out) const;
+    void replyOver(std::uint64_t link, wire::frame_data frame, time_point now, actions& out) const;
+    duration measureDelay(const frame_received& received, std::uint32_t timestamp, time_point now, actions& out);
+
     // ---- Other nodes (members.cpp, dissemination.cpp) ----
     endpoint self;
     time_point leaveStartedAt = time_point::max(); ///< start of the planned shutdown; max: none
@@ -243,7 +262,8 @@
     bool storeReachable = true;
 
     void receiveFrame(const frame_received& received, time_point now, actions& out);
-    void handleFrame(const frame_received& received, wire::frame_data frame, time_point now, actions& out);
+    void handleFrame(
+        const frame_received& received, wire::frame_data frame, duration delay, time_point now, actions& out);
     void cancelReceived(const serving_key& key, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
     void receiveBundle(const status_received& received, time_point now, actions& out);
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -293,7 +293,10 @@
             daemon.exchangeByAttempt.erase(found);
         }
         void operator()(const mesh::check_backend& each) const { daemon.checkBackend(each.healthPath); }
-        void operator()(const mesh::load_configuration& each) const { daemon.applyConfiguration(each.document); }
+        void operator()(const mesh::load_configuration& each) const
+        {
+            daemon.applyConfiguration(each.document, "node");
+        }
         void operator()(const mesh::log_event& each) const { daemon.logEvent(each); }
     };
     for (const auto& each : actions)
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -67,7 +67,8 @@
     void probeBackend();
     void checkBackend(const std::string& healthPath);
     http_answer handleControl(const http_request& request);
-    void applyConfiguration(const std::string& document);
+    /// source: where the document was read, for the log.
+    void applyConfiguration(const std::string& document, const char* source);
     void tickRegistry();
     void execute(mesh::registry::outcome& outcome);
     void chooseConfigurationSource();
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -9,14 +9,18 @@
 
 } // namespace
 
-void mesh_daemon::state::applyConfiguration(const std::string& document)
+void mesh_daemon::state::applyConfiguration(const std::string& document, const char* source)
 {
     auto parsed = adapter.parseConfiguration(document);
     if (!parsed) {
         logEvent({ "configuration_rejected", { { "reason", parsed.error().message } } });
         return;
     }
-    if (parsed->version <= node.configurationVersion())
+    const bool isNewer = parsed->version > node.configurationVersion();
+    logEvent({ "configuration_received",
+        { { "source", source }, { "bytes", std::to_string(document.size()) },
+            { "version", std::to_string(parsed->version) }, { "newer", isNewer ? "1" : "0" } } });
+    if (!isNewer)
         return;
     auto index = std::make_shared<const mesh::configuration_index>(std::move(*parsed));
     clientServer.setLimits(index->content().limits);
@@ -45,7 +49,7 @@
     for (const auto& line : outcome.log)
         logEvent(line);
     if (outcome.document)
-        applyConfiguration(*outcome.document);
+        applyConfiguration(*outcome.document, "store");
     if (outcome.entries)
         reportListedNodes(*outcome.entries);
     if (outcome.watchFrom)
--- a/src/libproxy/metrics.cpp
+++ b/src/libproxy/metrics.cpp
@@ -22,6 +22,21 @@
         out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
     }
 
+    void printFrameDelays(std::ostream& out, const mesh::node_statistics& statistics)
+    {
+        out << "# TYPE limpet_link_delay_seconds histogram\n";
+        std::uint64_t cumulative = 0;
+        for (std::size_t index = 0; index < mesh::frameDelayBounds.size(); ++index) {
+            cumulative += statistics.framesByDelay.at(index);
+            out << "limpet_link_delay_seconds_bucket{le=\""
+                << std::chrono::duration<double>(mesh::frameDelayBounds.at(index)).count() << "\"} " << cumulative
+                << '\n';
+        }
+        cumulative += statistics.framesByDelay.back();
+        out << "limpet_link_delay_seconds_bucket{le=\"+Inf\"} " << cumulative << "\nlimpet_link_delay_seconds_count "
+            << cumulative << '\n';
+    }
+
 } // namespace
 
 bool isHopByHop(const std::string& name, const std::string& connectionHeader)
@@ -67,6 +82,7 @@
     cumulative += m_buckets.back();
     out << "limpet_answer_seconds_bucket{le=\"+Inf\"} " << cumulative << '\n';
     out << "limpet_answer_seconds_sum " << m_latencySum << "\nlimpet_answer_seconds_count " << cumulative << '\n';
+    printFrameDelays(out, statistics);
     printCounter(out, "limpet_backend_answers_total", statistics.answered);
     printCounter(out, "limpet_refusals_total", statistics.refused);
     printCounter(out, "limpet_failures_total", statistics.failed);
