Ask the caller before a call that waited too long on its way is executed

Callers saw: work went on for clients that had left; calls reached backend servers of the other region up to 1.6 s after. Cause: a serving node did not know how long a call had been under way. It executed one that had waited in a full link as if it were fresh, while its cancel waited behind it. Change: the age of a call is bounded at its receiver. A reply cannot be older than the question, so that one exchange on a link bounds the difference of the two clocks, and with it the age of every frame; no clocks are compared. A call that may be older than 0.3 s, or is the first of a link whose times are unknown, is held while its caller is asked. The caller confirms with the time that is left, or repeats its cancel. Without a confirmation in 0.3 s the call is refused as not executed. The time that a call waited counts against its deadline and its time in queues. Weighed: refusing late calls at once (a call that is still wanted is sent over the same full link again); comparing wall clocks (they differ); a least delay alone (all frames of a new link may have waited equally long).

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -188,6 +188,9 @@
     duration drainMargin = std::chrono::milliseconds(600); ///< calls are refused this long before drainTime ends
     /// A node that is shutting down accepts requests for this long; later ones could not finish before it exits.
     duration acceptWhileLeaving = std::chrono::milliseconds(2800);
+    /// A call that may have been under way for longer is executed only if its caller confirms within this time that it
+    /// still waits. Must exceed the round trip between regions.
+    duration maxUncheckedAge = std::chrono::milliseconds(300);
     duration statusInterval = std::chrono::milliseconds(500);
     duration bundleInterval = std::chrono::milliseconds(300); ///< per relay
     duration peerExpiry = std::chrono::seconds(30); ///< nodes without a status for this long are removed
@@ -360,6 +363,8 @@
     std::uint64_t failed = 0; ///< requests refused with another status
     std::uint64_t cancelled = 0; ///< requests whose client disconnected
     std::uint64_t retries = 0;
+    std::uint64_t checkedCalls = 0; ///< whose caller was asked whether it still waits
+    std::uint64_t unconfirmedCalls = 0; ///< of checkedCalls, not confirmed and thus not executed
     std::size_t callsInFlight = 0; ///< client requests without a response
     std::size_t running = 0; ///< calls at the local backend server
     std::size_t queued = 0; ///< calls for the local backend server
--- /dev/null
+++ b/src/libmesh/confirmation.cpp
@@ -0,0 +1,92 @@
+// Calls that may have been under way for long: their callers are asked whether they still wait, since their cancels may
+// be under way as well.
+
+#include "state.h"
+
+namespace limpet::mesh {
+
+/// Asks the caller whether it still waits for the call.
+void node::state::askCaller(received_call received, time_point now, actions& out)
+{
+    const serving_key key { received.link, received.content.id };
+    heldBytes += received.content.body.size();
+    confirmationTimeouts.emplace(now + options.maxUncheckedAge, key);
+    unconfirmedCalls.emplace(key, unconfirmed_call { std::move(received), now });
+    ++counts.checkedCalls;
+    wire::frame_data frame;
+    frame.check = std::make_unique<wire::call_check_data>();
+    frame.check->id = key.id;
+    replyOver(key.link, std::move(frame), now, out);
+}
+
+/// Ends the wait for a confirmation. Returns nothing if there was none. result: for the log.
+std::optional<unconfirmed_call> node::state::endAsking(
+    const serving_key& key, std::string_view result, time_point now, actions& out)
+{
+    auto ended = unconfirmedCalls.extract(key);
+    if (ended.empty())
+        return std::nullopt;
+    auto& call = ended.mapped();
+    heldBytes -= call.received.content.body.size();
+    confirmationTimeouts.erase({ call.askedAt + options.maxUncheckedAge, key });
+    log(out, "call_checked",
+        { { "id", call.received.content.request_id }, { "result", std::string(result) },
+            { "delay_ms", milliseconds(call.received.delay) }, { "ms", milliseconds(now - call.askedAt) } });
+    return std::move(call);
+}
+
+/// Serves a call whose caller still waited for it when it sent the confirmation, which is no older than the question.
+void node::state::callConfirmed(const frame_received& received, const wire::call_confirmation_data& confirmation,
+    const frame_age& age, std::uint32_t timestamp, time_point now, actions& out)
+{
+    const serving_key key { received.link, confirmation.id };
+    const auto asked = unconfirmedCalls.find(key);
+    if (asked == unconfirmedCalls.end())
+        return;
+    links[received.link].transit.receiveReply(timestamp, asked->second.askedAt, now);
+    if (now - asked->second.askedAt > options.maxUncheckedAge) {
+        refuseUnconfirmed(now, out);
+        return;
+    }
+    auto confirmed = endAsking(key, "confirmed", now, out);
+    auto& call = confirmed->received;
+    const auto passed = call.content.remaining_us - confirmation.remaining_us;
+    call.content.queue_us -= passed;
+    call.content.remaining_us = confirmation.remaining_us;
+    call.delay = age.delay;
+    call.mayBeStale = false;
+    serve(std::move(call), now, out);
+}
+
+/// Refuses calls that were not confirmed in time. They may be executed elsewhere.
+void node::state::refuseUnconfirmed(time_point now, actions& out)
+{
+    while (!confirmationTimeouts.empty() && confirmationTimeouts.begin()->first <= now) {
+        const auto key = confirmationTimeouts.begin()->second;
+        endAsking(key, "unconfirmed", now, out);
+        ++counts.unconfirmedCalls;
+        arrivals.add(now);
+        sendFailure(key, failure_kind::notExecuted, duration(0), now, out);
+    }
+}
+
+/// Confirms an attempt that is in flight, or repeats its cancel. The question took the place of a reply in the count of
+/// those that are expected.
+void node::state::answerCheck(const frame_received& received, std::uint64_t attempt, time_point now, actions& out)
+{
+    if (received.peer.ip.empty())
+        return;
+    wire::frame_data frame;
+    const auto found = callByAttempt.find(attempt);
+    if (found != callByAttempt.end()) {
+        frame.confirmation = std::make_unique<wire::call_confirmation_data>();
+        frame.confirmation->id = attempt;
+        frame.confirmation->remaining_us = (calls.at(found->second).deadline - now).count();
+    } else {
+        frame.cancel = std::make_unique<wire::call_cancel_data>();
+        frame.cancel->id = attempt;
+    }
+    sendFrame(received.peer, std::move(frame), 1, now, out);
+}
+
+} // namespace limpet::mesh
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -203,7 +203,7 @@
     ++target->sentSinceReport;
     startImpatience(call, *target);
     if (target == &self) {
-        serve(localLink, std::move(message), duration(0), now, out);
+        serve({ localLink, std::move(message) }, now, out);
         return;
     }
     wire::frame_data frame;
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -34,14 +34,14 @@
 void node::state::receiveFrame(const frame_received& received, time_point now, actions& out)
 {
     if (auto parsed = parseFrame(received.bytes)) {
-        const auto delay = measureDelay(received, parsed->sent_ms, now, out);
-        handleFrame(received, std::move(*parsed), delay, now, out);
+        const auto age = measureAge(received, parsed->sent_ms, now, out);
+        handleFrame(received, std::move(*parsed), age, now, out);
     } else
         log(out, "frame_ignored", { { "reason", parsed.error().message } });
     if (!received.isLast)
         return;
     for (auto& each : std::exchange(receivedCalls, {}))
-        serve(each.link, std::move(each.content), each.delay, now, out);
+        serve(std::move(each), now, out);
 }
 
 /// Handles the caller's cancel of a call that is being served or is about to be.
@@ -50,16 +50,16 @@
     const auto found = std::find_if(receivedCalls.begin(), receivedCalls.end(),
         [&](const received_call& each) { return each.link == key.link && each.content.id == key.id; });
     if (found == receivedCalls.end()) {
-        cancelServing(key, "caller", now, out);
+        if (!endAsking(key, "cancelled", now, out))
+            cancelServing(key, "caller", now, out);
         return;
     }
     log(out, "call_cancelled", { { "id", found->content.request_id }, { "reason", "with-its-call" } });
     receivedCalls.erase(found);
 }
 
-/// delay: how much longer the frame was under way than the fastest one of its link.
 void node::state::handleFrame(
-    const frame_received& received, wire::frame_data frame, duration delay, time_point now, actions& out)
+    const frame_received& received, wire::frame_data frame, const frame_age& age, time_point now, actions& out)
 {
     const auto updateLoad = [&](const std::unique_ptr<wire::load_report_data>& load) {
         auto* peer = peerByAddress(received.peer);
@@ -68,12 +68,17 @@
         peer->load = unpackLoad(*load);
         peer->sentSinceReport = 0;
     };
-    if (frame.call && delay >= delayedLink)
+    if (frame.call && age.delay >= delayedLink)
         log(out, "call_late",
             { { "id", frame.call->request_id }, { "link", std::to_string(received.link) },
-                { "delay_ms", milliseconds(delay) }, { "paused_ms", milliseconds(received.delay) } });
+                { "delay_ms", milliseconds(age.delay) }, { "paused_ms", milliseconds(received.delay) } });
     if (frame.call)
-        receivedCalls.push_back({ received.link, std::move(*frame.call), received.delay });
+        receivedCalls.push_back({ received.link, std::move(*frame.call), std::max(received.delay, age.delay),
+            age.known && age.most.value_or(duration::max()) > options.maxUncheckedAge });
+    if (frame.check)
+        answerCheck(received, frame.check->id, now, out);
+    if (frame.confirmation)
+        callConfirmed(received, *frame.confirmation, age, frame.sent_ms, now, out);
     if (frame.cancel)
         cancelReceived({ received.link, frame.cancel->id }, now, out);
     if (frame.answer) {
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -38,6 +38,14 @@
         struct call_cancelBuilder;
         struct call_cancel_data;
 
+        struct call_check;
+        struct call_checkBuilder;
+        struct call_check_data;
+
+        struct call_confirmation;
+        struct call_confirmationBuilder;
+        struct call_confirmation_data;
+
         struct configuration_request;
         struct configuration_requestBuilder;
         struct configuration_request_data;
@@ -766,6 +774,112 @@
         flatbuffers::Offset<call_cancel> Createcall_cancel(flatbuffers::FlatBufferBuilder& _fbb,
             const call_cancel_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
 
+        struct call_check_data : public flatbuffers::NativeTable {
+            typedef call_check TableType;
+            uint64_t id = 0;
+        };
+
+        struct call_check FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+            typedef call_check_data NativeTableType;
+            typedef call_checkBuilder Builder;
+            enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ID = 4 };
+            uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
+            bool Verify(flatbuffers::Verifier& verifier) const
+            {
+                return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_ID, 8) && verifier.EndTable();
+            }
+            call_check_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            void UnPackTo(call_check_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            static flatbuffers::Offset<call_check> Pack(flatbuffers::FlatBufferBuilder& _fbb, const call_check_data* _o,
+                const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+        };
+
+        struct call_checkBuilder {
+            typedef call_check Table;
+            flatbuffers::FlatBufferBuilder& fbb_;
+            flatbuffers::uoffset_t start_;
+            void add_id(uint64_t id) { fbb_.AddElement<uint64_t>(call_check::VT_ID, id, 0); }
+            explicit call_checkBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+                : fbb_(_fbb)
+            {
+                start_ = fbb_.StartTable();
+            }
+            flatbuffers::Offset<call_check> Finish()
+            {
+                const auto end = fbb_.EndTable(start_);
+                auto o = flatbuffers::Offset<call_check>(end);
+                return o;
+            }
+        };
+
+        inline flatbuffers::Offset<call_check> Createcall_check(flatbuffers::FlatBufferBuilder& _fbb, uint64_t id = 0)
+        {
+            call_checkBuilder builder_(_fbb);
+            builder_.add_id(id);
+            return builder_.Finish();
+        }
+
+        flatbuffers::Offset<call_check> Createcall_check(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_check_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
+        struct call_confirmation_data : public flatbuffers::NativeTable {
+            typedef call_confirmation TableType;
+            uint64_t id = 0;
+            int64_t remaining_us = 0;
+        };
+
+        struct call_confirmation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+            typedef call_confirmation_data NativeTableType;
+            typedef call_confirmationBuilder Builder;
+            enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ID = 4, VT_REMAINING_US = 6 };
+            uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
+            int64_t remaining_us() const { return GetField<int64_t>(VT_REMAINING_US, 0); }
+            bool Verify(flatbuffers::Verifier& verifier) const
+            {
+                return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_ID, 8)
+                    && VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) && verifier.EndTable();
+            }
+            call_confirmation_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            void UnPackTo(
+                call_confirmation_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            static flatbuffers::Offset<call_confirmation> Pack(flatbuffers::FlatBufferBuilder& _fbb,
+                const call_confirmation_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+        };
+
+        struct call_confirmationBuilder {
+            typedef call_confirmation Table;
+            flatbuffers::FlatBufferBuilder& fbb_;
+            flatbuffers::uoffset_t start_;
+            void add_id(uint64_t id) { fbb_.AddElement<uint64_t>(call_confirmation::VT_ID, id, 0); }
+            void add_remaining_us(int64_t remaining_us)
+            {
+                fbb_.AddElement<int64_t>(call_confirmation::VT_REMAINING_US, remaining_us, 0);
+            }
+            explicit call_confirmationBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+                : fbb_(_fbb)
+            {
+                start_ = fbb_.StartTable();
+            }
+            flatbuffers::Offset<call_confirmation> Finish()
+            {
+                const auto end = fbb_.EndTable(start_);
+                auto o = flatbuffers::Offset<call_confirmation>(end);
+                return o;
+            }
+        };
+
+        inline flatbuffers::Offset<call_confirmation> Createcall_confirmation(
+            flatbuffers::FlatBufferBuilder& _fbb, uint64_t id = 0, int64_t remaining_us = 0)
+        {
+            call_confirmationBuilder builder_(_fbb);
+            builder_.add_remaining_us(remaining_us);
+            builder_.add_id(id);
+            return builder_.Finish();
+        }
+
+        flatbuffers::Offset<call_confirmation> Createcall_confirmation(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_confirmation_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
         struct configuration_request_data : public flatbuffers::NativeTable {
             typedef configuration_request TableType;
         };
@@ -881,6 +995,8 @@
             std::unique_ptr<limpet::mesh::wire::configuration_request_data> configuration_pull {};
             std::unique_ptr<limpet::mesh::wire::configuration_copy_data> configuration_push {};
             uint32_t sent_ms = 0;
+            std::unique_ptr<limpet::mesh::wire::call_check_data> check {};
+            std::unique_ptr<limpet::mesh::wire::call_confirmation_data> confirmation {};
             frame_data() = default;
             frame_data(const frame_data& o);
             frame_data(frame_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -897,7 +1013,9 @@
                 VT_CANCEL = 10,
                 VT_CONFIGURATION_PULL = 12,
                 VT_CONFIGURATION_PUSH = 14,
-                VT_SENT_MS = 16
+                VT_SENT_MS = 16,
+                VT_CHECK = 18,
+                VT_CONFIRMATION = 20
             };
             const limpet::mesh::wire::call_request* call() const
             {
@@ -924,6 +1042,14 @@
                 return GetPointer<const limpet::mesh::wire::configuration_copy*>(VT_CONFIGURATION_PUSH);
             }
             uint32_t sent_ms() const { return GetField<uint32_t>(VT_SENT_MS, 0); }
+            const limpet::mesh::wire::call_check* check() const
+            {
+                return GetPointer<const limpet::mesh::wire::call_check*>(VT_CHECK);
+            }
+            const limpet::mesh::wire::call_confirmation* confirmation() const
+            {
+                return GetPointer<const limpet::mesh::wire::call_confirmation*>(VT_CONFIRMATION);
+            }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_CALL) && verifier.VerifyTable(call())
@@ -932,7 +1058,9 @@
                     && VerifyOffset(verifier, VT_CANCEL) && verifier.VerifyTable(cancel())
                     && VerifyOffset(verifier, VT_CONFIGURATION_PULL) && verifier.VerifyTable(configuration_pull())
                     && VerifyOffset(verifier, VT_CONFIGURATION_PUSH) && verifier.VerifyTable(configuration_push())
-                    && VerifyField<uint32_t>(verifier, VT_SENT_MS, 4) && verifier.EndTable();
+                    && VerifyField<uint32_t>(verifier, VT_SENT_MS, 4) && VerifyOffset(verifier, VT_CHECK)
+                    && verifier.VerifyTable(check()) && VerifyOffset(verifier, VT_CONFIRMATION)
+                    && verifier.VerifyTable(confirmation()) && verifier.EndTable();
             }
             frame_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(frame_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -970,6 +1098,14 @@
                 fbb_.AddOffset(frame::VT_CONFIGURATION_PUSH, configuration_push);
             }
             void add_sent_ms(uint32_t sent_ms) { fbb_.AddElement<uint32_t>(frame::VT_SENT_MS, sent_ms, 0); }
+            void add_check(flatbuffers::Offset<limpet::mesh::wire::call_check> check)
+            {
+                fbb_.AddOffset(frame::VT_CHECK, check);
+            }
+            void add_confirmation(flatbuffers::Offset<limpet::mesh::wire::call_confirmation> confirmation)
+            {
+                fbb_.AddOffset(frame::VT_CONFIRMATION, confirmation);
+            }
             explicit frameBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -989,9 +1125,13 @@
             flatbuffers::Offset<limpet::mesh::wire::call_failure> failure = 0,
             flatbuffers::Offset<limpet::mesh::wire::call_cancel> cancel = 0,
             flatbuffers::Offset<limpet::mesh::wire::configuration_request> configuration_pull = 0,
-            flatbuffers::Offset<limpet::mesh::wire::configuration_copy> configuration_push = 0, uint32_t sent_ms = 0)
+            flatbuffers::Offset<limpet::mesh::wire::configuration_copy> configuration_push = 0, uint32_t sent_ms = 0,
+            flatbuffers::Offset<limpet::mesh::wire::call_check> check = 0,
+            flatbuffers::Offset<limpet::mesh::wire::call_confirmation> confirmation = 0)
         {
             frameBuilder builder_(_fbb);
+            builder_.add_confirmation(confirmation);
+            builder_.add_check(check);
             builder_.add_sent_ms(sent_ms);
             builder_.add_configuration_push(configuration_push);
             builder_.add_configuration_pull(configuration_pull);
@@ -1982,6 +2122,89 @@
             return limpet::mesh::wire::Createcall_cancel(_fbb, _id);
         }
 
+        inline call_check_data* call_check::UnPack(const flatbuffers::resolver_function_t* _resolver) const
+        {
+            auto _o = std::unique_ptr<call_check_data>(new call_check_data());
+            UnPackTo(_o.get(), _resolver);
+            return _o.release();
+        }
+
+        inline void call_check::UnPackTo(call_check_data* _o, const flatbuffers::resolver_function_t* _resolver) const
+        {
+            (void)_o;
+            (void)_resolver;
+            {
+                auto _e = id();
+                _o->id = _e;
+            }
+        }
+
+        inline flatbuffers::Offset<call_check> call_check::Pack(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_check_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            return Createcall_check(_fbb, _o, _rehasher);
+        }
+
+        inline flatbuffers::Offset<call_check> Createcall_check(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_check_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            (void)_rehasher;
+            (void)_o;
+            struct _VectorArgs {
+                flatbuffers::FlatBufferBuilder* __fbb;
+                const call_check_data* __o;
+                const flatbuffers::rehasher_function_t* __rehasher;
+            } _va = { &_fbb, _o, _rehasher };
+            (void)_va;
+            auto _id = _o->id;
+            return limpet::mesh::wire::Createcall_check(_fbb, _id);
+        }
+
+        inline call_confirmation_data* call_confirmation::UnPack(
+            const flatbuffers::resolver_function_t* _resolver) const
+        {
+            auto _o = std::unique_ptr<call_confirmation_data>(new call_confirmation_data());
+            UnPackTo(_o.get(), _resolver);
+            return _o.release();
+        }
+
+        inline void call_confirmation::UnPackTo(
+            call_confirmation_data* _o, const flatbuffers::resolver_function_t* _resolver) const
+        {
+            (void)_o;
+            (void)_resolver;
+            {
+                auto _e = id();
+                _o->id = _e;
+            }
+            {
+                auto _e = remaining_us();
+                _o->remaining_us = _e;
+            }
+        }
+
+        inline flatbuffers::Offset<call_confirmation> call_confirmation::Pack(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_confirmation_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            return Createcall_confirmation(_fbb, _o, _rehasher);
+        }
+
+        inline flatbuffers::Offset<call_confirmation> Createcall_confirmation(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_confirmation_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            (void)_rehasher;
+            (void)_o;
+            struct _VectorArgs {
+                flatbuffers::FlatBufferBuilder* __fbb;
+                const call_confirmation_data* __o;
+                const flatbuffers::rehasher_function_t* __rehasher;
+            } _va = { &_fbb, _o, _rehasher };
+            (void)_va;
+            auto _id = _o->id;
+            auto _remaining_us = _o->remaining_us;
+            return limpet::mesh::wire::Createcall_confirmation(_fbb, _id, _remaining_us);
+        }
+
         inline configuration_request_data* configuration_request::UnPack(
             const flatbuffers::resolver_function_t* _resolver) const
         {
@@ -2072,6 +2295,8 @@
                       ? new limpet::mesh::wire::configuration_copy_data(*o.configuration_push)
                       : nullptr)
             , sent_ms(o.sent_ms)
+            , check((o.check) ? new limpet::mesh::wire::call_check_data(*o.check) : nullptr)
+            , confirmation((o.confirmation) ? new limpet::mesh::wire::call_confirmation_data(*o.confirmation) : nullptr)
         {
         }
 
@@ -2084,6 +2309,8 @@
             std::swap(configuration_pull, o.configuration_pull);
             std::swap(configuration_push, o.configuration_push);
             std::swap(sent_ms, o.sent_ms);
+            std::swap(check, o.check);
+            std::swap(confirmation, o.confirmation);
             return *this;
         }
 
@@ -2134,6 +2361,17 @@
                 auto _e = sent_ms();
                 _o->sent_ms = _e;
             }
+            {
+                auto _e = check();
+                if (_e)
+                    _o->check = std::unique_ptr<limpet::mesh::wire::call_check_data>(_e->UnPack(_resolver));
+            }
+            {
+                auto _e = confirmation();
+                if (_e)
+                    _o->confirmation
+                        = std::unique_ptr<limpet::mesh::wire::call_confirmation_data>(_e->UnPack(_resolver));
+            }
         }
 
         inline flatbuffers::Offset<frame> frame::Pack(flatbuffers::FlatBufferBuilder& _fbb, const frame_data* _o,
@@ -2163,8 +2401,11 @@
             auto _configuration_push
                 = _o->configuration_push ? Createconfiguration_copy(_fbb, _o->configuration_push.get(), _rehasher) : 0;
             auto _sent_ms = _o->sent_ms;
-            return limpet::mesh::wire::Createframe(
-                _fbb, _call, _answer, _failure, _cancel, _configuration_pull, _configuration_push, _sent_ms);
+            auto _check = _o->check ? Createcall_check(_fbb, _o->check.get(), _rehasher) : 0;
+            auto _confirmation
+                = _o->confirmation ? Createcall_confirmation(_fbb, _o->confirmation.get(), _rehasher) : 0;
+            return limpet::mesh::wire::Createframe(_fbb, _call, _answer, _failure, _cancel, _configuration_pull,
+                _configuration_push, _sent_ms, _check, _confirmation);
         }
 
         inline team_use_data* team_use::UnPack(const flatbuffers::resolver_function_t* _resolver) const
--- a/src/libmesh/mesh_transit_test.cpp
+++ b/src/libmesh/mesh_transit_test.cpp
@@ -17,17 +17,17 @@
     const auto wrap = duration(std::chrono::milliseconds(std::int64_t(1) << 32));
     const time_point sender(wrap - 50ms);
     const time_point receiver(wrap - 60s);
-    EXPECT_EQ(transit.delayOf(frameTimestamp(sender), receiver + 130ms), 0ms);
-    EXPECT_EQ(transit.delayOf(frameTimestamp(sender + 100ms), receiver + 130ms), 0ms);
-    EXPECT_EQ(transit.delayOf(frameTimestamp(sender + 200ms), receiver + 930ms), 700ms);
-    EXPECT_EQ(transit.delayOf(frameTimestamp(sender + 900ms), receiver + 930ms), 0ms);
+    EXPECT_EQ(transit.receive(frameTimestamp(sender), receiver + 130ms).delay, 0ms);
+    EXPECT_EQ(transit.receive(frameTimestamp(sender + 100ms), receiver + 130ms).delay, 0ms);
+    EXPECT_EQ(transit.receive(frameTimestamp(sender + 200ms), receiver + 930ms).delay, 700ms);
+    EXPECT_EQ(transit.receive(frameTimestamp(sender + 900ms), receiver + 930ms).delay, 0ms);
 }
 
 TEST(link_transit, frameOfAnEarlierVersionHasNoDelay)
 {
     link_transit transit;
-    EXPECT_EQ(transit.delayOf(0, testStart), 0ms);
-    EXPECT_EQ(transit.delayOf(frameTimestamp(testStart), testStart + 5s), 0ms);
+    EXPECT_EQ(transit.receive(0, testStart).delay, 0ms);
+    EXPECT_EQ(transit.receive(frameTimestamp(testStart), testStart + 5s).delay, 0ms);
 }
 
 TEST(link_delay, isLoggedAndCounted)
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -106,6 +106,7 @@
         refuseQueued(refusal_reason::draining, now, out);
     applyAdmission(admissionControl.expire(now), now, out);
     cancelOverdueServing(now, out);
+    refuseUnconfirmed(now, out);
     retries.setNodeCount(peers.size() + 1);
     checkCandidate(now, out);
     expirePeers(now, out);
@@ -132,6 +133,8 @@
         next = std::min(next, servingDeadline());
     if (!servingDeadlines.empty())
         next = std::min(next, servingDeadlines.begin()->first + cancelGrace);
+    if (!confirmationTimeouts.empty())
+        next = std::min(next, confirmationTimeouts.begin()->first);
     for (const auto& [address, each] : unknownNodes)
         next = std::min(next, each.requestedAt + statusRequestInterval);
     return next;
@@ -159,7 +162,10 @@
 
 bool node::ready() const { return m_state->config != nullptr && !m_state->self.leaving; }
 
-bool node::idle() const { return m_state->calls.empty() && m_state->serving.empty(); }
+bool node::idle() const
+{
+    return m_state->calls.empty() && m_state->serving.empty() && m_state->unconfirmedCalls.empty();
+}
 
 bool node::servesLink(std::uint64_t link) const
 {
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -61,47 +61,67 @@
     return static_cast<double>(silent) / static_cast<double>(admissionControl.inFlight());
 }
 
-/// Accepts a call for the local backend server. delay: time for which it may have waited unread; its deadline counts
-/// from before.
-void node::state::serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out)
+/// Returns why the call cannot be served, or an empty text.
+std::string_view node::state::reasonToRefuse(
+    const wire::call_request_data& call, duration remaining, time_point now) const
 {
-    const serving_key key { link, call.id };
-    if (servingByKey.contains(key)) {
+    if (!canServe(now) || !acceptsRequests(now) || call.service != self.service)
+        return "no-backend-server";
+    if (remaining <= duration(0))
+        return "deadline-exceeded";
+    if (heldBytes + call.body.size() > options.tuning.maxHeldBytes)
+        return "memory";
+    return {};
+}
+
+/// Accepts a call for the local backend server. Its times count from before its delay.
+void node::state::serve(received_call received, time_point now, actions& out)
+{
+    const auto& call = received.content;
+    const serving_key key { received.link, call.id };
+    if (servesOrAsks(key)) {
         // Any reply would be taken for the outcome of the call that is in progress.
         log(out, "call_ignored", { { "id", call.request_id }, { "reason", "duplicate" } });
         return;
     }
+    const auto remaining = std::clamp(duration(call.remaining_us), duration(0), maxRemaining) - received.delay;
+    const auto reason = reasonToRefuse(call, remaining, now);
+    if (reason.empty() && received.mayBeStale) {
+        askCaller(std::move(received), now, out);
+        return;
+    }
     arrivals.add(now);
-    const auto remaining = std::clamp(duration(call.remaining_us), duration(0), maxRemaining) - delay;
-    std::string_view reason;
-    if (!canServe(now) || !acceptsRequests(now) || call.service != self.service)
-        reason = "no-backend-server";
-    else if (remaining <= duration(0))
-        reason = "deadline-exceeded";
-    else if (heldBytes + call.body.size() > options.tuning.maxHeldBytes)
-        reason = "memory";
     if (!reason.empty()) {
         log(out, "call_refused",
             { { "id", call.request_id }, { "reason", std::string(reason) }, { "wanted", call.service },
                 { "backend", backend.id }, { "reachable", backend.reachable ? "1" : "0" },
-                { "leaving", backend.draining ? "1" : "0" }, { "delay_ms", milliseconds(delay) },
+                { "leaving", backend.draining ? "1" : "0" }, { "delay_ms", milliseconds(received.delay) },
                 { "held_bytes", std::to_string(heldBytes) } });
         sendFailure(key, failure_kind::notExecuted, duration(0), now, out);
         return;
     }
+    keepServing(std::move(received), remaining, now, out);
+}
+
+void node::state::keepServing(received_call received, duration remaining, time_point now, actions& out)
+{
     const auto servingId = nextServingId++;
     serving_call kept;
-    kept.link = link;
-    kept.id = call.id;
+    kept.link = received.link;
+    kept.id = received.content.id;
     kept.arrived = now;
     kept.deadline = now + remaining;
-    kept.bodyBytes = call.body.size();
+    kept.bodyBytes = received.content.body.size();
     heldBytes += kept.bodyBytes;
-    kept.content = std::move(call);
+    kept.content = std::move(received.content);
     kept.content.remaining_us = remaining.count();
+    // After its target latency, a call may wait until its deadline.
+    kept.content.queue_us -= received.delay.count();
+    if (kept.content.queue_us <= 0)
+        kept.content.queue_us = kept.content.remaining_us;
     servingDeadlines.emplace(kept.deadline, servingId);
+    servingByKey[{ kept.link, kept.id }] = servingId;
     serving.emplace(servingId, std::move(kept));
-    servingByKey[key] = servingId;
     offer(servingId, now, out);
 }
 
@@ -300,6 +320,11 @@
 void node::state::cancelLinkServing(std::uint64_t link, time_point now, actions& out)
 {
     std::vector<serving_key> keys;
+    for (auto each = unconfirmedCalls.lower_bound({ link, 0 });
+         each != unconfirmedCalls.end() && each->first.link == link; ++each)
+        keys.push_back(each->first);
+    for (const auto& key : std::exchange(keys, {}))
+        endAsking(key, "link-closed", now, out);
     for (auto each = servingByKey.lower_bound({ link, 0 }); each != servingByKey.end() && each->first.link == link;
          ++each)
         keys.push_back(each->first);
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -92,11 +92,18 @@
     std::uint64_t generation = 0; ///< of the backend server that executes it
 };
 
-/// A call that was received together with further frames, which may cancel it.
+/// A call of another node. It is served after the frames that were received together with it, which may cancel it.
 struct received_call {
     std::uint64_t link = localLink;
     wire::call_request_data content;
-    duration delay { 0 }; ///< how long it may have waited in this process
+    duration delay { 0 }; ///< how long it waited on its way, above the least time
+    bool mayBeStale = false; ///< may have been under way for too long to be executed without asking its caller
+};
+
+/// A call whose caller was asked whether it still waits for it.
+struct unconfirmed_call {
+    received_call received;
+    time_point askedAt {};
 };
 
 struct serving_key {
@@ -180,11 +187,13 @@
         ingress_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out);
     void deliver(ingress_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out);
 
-    // ---- The local backend server (serving.cpp, backend.cpp) ----
+    // ---- The local backend server (serving.cpp, confirmation.cpp, backend.cpp) ----
     local_backend backend;
     backend_candidate candidate;
     admission admissionControl;
     std::vector<received_call> receivedCalls; ///< of the frames that are being read
+    std::map<serving_key, unconfirmed_call> unconfirmedCalls;
+    std::set<std::pair<time_point, serving_key>> confirmationTimeouts; ///< of unconfirmedCalls
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingByKey;
     std::set<std::pair<time_point, std::uint64_t>> servingDeadlines; ///< of the calls in serving
@@ -196,7 +205,20 @@
     std::size_t heldBytes = 0; ///< of the bodies of serving
     rate_estimator arrivals; ///< of calls, including those refused
 
-    void serve(std::uint64_t link, wire::call_request_data call, duration delay, time_point now, actions& out);
+    void serve(received_call received, time_point now, actions& out);
+    bool servesOrAsks(const serving_key& key) const
+    {
+        return servingByKey.contains(key) || unconfirmedCalls.contains(key);
+    }
+    std::string_view reasonToRefuse(const wire::call_request_data& call, duration remaining, time_point now) const;
+    void keepServing(received_call received, duration remaining, time_point now, actions& out);
+    void askCaller(received_call received, time_point now, actions& out);
+    std::optional<unconfirmed_call> endAsking(
+        const serving_key& key, std::string_view result, time_point now, actions& out);
+    void callConfirmed(const frame_received& received, const wire::call_confirmation_data& confirmation,
+        const frame_age& age, std::uint32_t timestamp, time_point now, actions& out);
+    void refuseUnconfirmed(time_point now, actions& out);
+    void answerCheck(const frame_received& received, std::uint64_t attempt, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
     void cancelOverdueServing(time_point now, actions& out);
@@ -233,7 +255,7 @@
     void sendFrame(
         const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now, actions& out) const;
     void replyOver(std::uint64_t link, wire::frame_data frame, time_point now, actions& out) const;
-    duration measureDelay(const frame_received& received, std::uint32_t timestamp, time_point now, actions& out);
+    frame_age measureAge(const frame_received& received, std::uint32_t timestamp, time_point now, actions& out);
 
     // ---- Other nodes (members.cpp, dissemination.cpp) ----
     endpoint self;
@@ -263,7 +285,7 @@
 
     void receiveFrame(const frame_received& received, time_point now, actions& out);
     void handleFrame(
-        const frame_received& received, wire::frame_data frame, duration delay, time_point now, actions& out);
+        const frame_received& received, wire::frame_data frame, const frame_age& age, time_point now, actions& out);
     void cancelReceived(const serving_key& key, time_point now, actions& out);
     void receiveStatus(const status_received& received, time_point now, actions& out);
     void receiveBundle(const status_received& received, time_point now, actions& out);
--- a/src/libmesh/transit.cpp
+++ b/src/libmesh/transit.cpp
@@ -26,13 +26,12 @@
     out.emplace_back(reply_frame { link, encodeFrame(frame) });
 }
 
-/// Returns how much longer a received frame was under way than the fastest one of its link, counts it, and logs when
-/// the link becomes slow or fast.
-duration node::state::measureDelay(
-    const frame_received& received, std::uint32_t timestamp, time_point now, actions& out)
+/// Returns how long a received frame was under way, counts its delay, and logs when the link becomes slow or fast.
+frame_age node::state::measureAge(const frame_received& received, std::uint32_t timestamp, time_point now, actions& out)
 {
     auto& link = links[received.link];
-    const auto delay = link.transit.delayOf(timestamp, now);
+    const auto age = link.transit.receive(timestamp, now);
+    const auto delay = age.delay;
     const auto bucket = std::lower_bound(frameDelayBounds.begin(), frameDelayBounds.end(), delay);
     ++counts.framesByDelay.at(static_cast<std::size_t>(bucket - frameDelayBounds.begin()));
     const auto* peer = peerByAddress(received.peer);
@@ -52,7 +51,7 @@
         link.delayedSince = time_point::max();
         link.peakDelay = duration(0);
     }
-    return delay;
+    return age;
 }
 
 } // namespace limpet::mesh
--- a/src/libproxy/metrics.cpp
+++ b/src/libproxy/metrics.cpp
@@ -88,6 +88,8 @@
     printCounter(out, "limpet_failures_total", statistics.failed);
     printCounter(out, "limpet_clients_gone_total", statistics.cancelled);
     printCounter(out, "limpet_repeats_total", statistics.retries);
+    printCounter(out, "limpet_checked_calls_total", statistics.checkedCalls);
+    printCounter(out, "limpet_unconfirmed_calls_total", statistics.unconfirmedCalls);
     printCounter(out, "limpet_store_calls_total", m_storeCalls);
     printGauge(out, "limpet_requests_in_flight", statistics.callsInFlight);
     printGauge(out, "limpet_backend_running", statistics.running);
