Keep configurations off the links of the calls, paced, and fetch them once for each zone at a start too

Callers saw: after the restart of many nodes, calls and cancels crossed the regions up to 1.6 s late, and work went on for clients that had left. Within a zone, one node sent each new version to all others at once, which delayed 28 to 36 of its links by 100 ms and more. Copies and calls shared one connection. Change: links for bulk are separate from those for calls. A peer is not suspected, and no call fails, because of them. Copies are written at a bounded rate, one after the other. A request is not repeated while its reply is on the way. Nodes that have waited in vain read the store one after the other. The registry reads the configuration only when that is wanted; the fixture of its tests says so now, and a new test guards it.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -120,7 +120,7 @@
     void configurationChanged(const std::string& document, outcome& out);
     /// Schedules a new read of the configuration after its watch ended.
     void watchEnded(time_point now);
-    /// Reads and watches the configuration while that is wanted, and for a while after.
+    /// Reads and watches the configuration while that is wanted, and for a while after. Not wanted at first.
     void readConfiguration(bool wanted, time_point now, outcome& out);
     bool storeReachable() const { return m_storeReachable; }
     /// Revokes the lease and with it the entry. Afterwards only the configuration is still read.
@@ -148,8 +148,8 @@
     bool m_written = false; ///< the entry is written under the current lease
     bool m_listed = false; ///< the nodes were listed since the entry was written
     bool m_storeReachable = true; ///< the store replied to the last call
-    bool m_readsConfiguration = true;
-    time_point m_readingWantedAt {}; ///< last time
+    bool m_readsConfiguration = false;
+    time_point m_readingWantedAt = time_point::min(); ///< last time; min: never
     bool m_leftFleet = false;
 };
 
@@ -254,6 +254,11 @@
 struct backend_reachability {
     bool reachable = false;
 };
+/// Kinds of traffic between two nodes, each of which has links of its own.
+enum class traffic_class : std::uint8_t {
+    calls, ///< and all that must not wait
+    bulk, ///< large documents
+};
 struct frame_received {
     std::uint64_t link = 0;
     socket_address peer; ///< if this node opened the link
@@ -265,6 +270,7 @@
     std::uint64_t link = 0;
     socket_address peer; ///< if this node opened the link
     bool established = true; ///< false: never connected, so that nothing was sent over it
+    traffic_class carried = traffic_class::calls; ///< if this node opened the link
 };
 /// A node with outstanding replies does not respond over its link (suspected), or responds again.
 struct link_suspected {
@@ -310,11 +316,19 @@
     socket_address peer;
     std::string bytes;
     int expectedReplyDelta = 0; ///< change of the number of replies expected from the peer
+    traffic_class traffic = traffic_class::calls;
+};
+/// How fast a frame is written.
+enum class write_pace : std::uint8_t {
+    unlimited,
+    sameRegion, ///< leaves room for calls on the link of the VM
+    otherRegion, ///< leaves room for the calls of all nodes on the link between the regions
 };
-/// Sends a frame over the link on which a call arrived.
+/// Sends a frame over the link on which a frame arrived.
 struct reply_frame {
     std::uint64_t link = 0;
     std::string bytes;
+    write_pace pace = write_pace::unlimited;
 };
 struct send_status {
     socket_address peer;
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -260,6 +260,9 @@
     duration idleTimeout = std::chrono::seconds(30);
     std::size_t maxFrameBytes = 72 << 20; ///< a link is closed if the peer sends a longer frame
     std::size_t maxQueuedBytes = 96 << 20; ///< a link is closed if more bytes wait to be sent
+    /// Rate at which paced messages are written, in bytes per second: within the region, and to another one.
+    std::size_t sameRegionPace = 10 << 20;
+    std::size_t otherRegionPace = 1 << 20;
 };
 
 /// TCP connections that carry length-prefixed frames between nodes.
@@ -278,9 +281,13 @@
     /// is above zero, a silent peer is pinged.
     /// A peer whose messages are worked on is pinged as well: if its end of the link is gone, its system rejects the
     /// ping, and the link closes.
-    void send(const socket_address& peer, std::string_view bytes, int expectedReplyDelta);
-    /// Sends a message over the link on which a frame was received. Drops the message if that link is closed.
-    void reply(std::uint64_t link, std::string_view bytes);
+    /// Each class of traffic has a link of its own. A silent peer is not suspected because of a link for bulk.
+    void send(const socket_address& peer, std::string_view bytes, int expectedReplyDelta,
+        mesh::traffic_class traffic = mesh::traffic_class::calls);
+    /// Sends a message over the link on which a frame was received. Drops the message if that link is closed. A paced
+    /// message is written as fast as the options allow for all paced messages together, and holds up what is sent over
+    /// its link after it.
+    void reply(std::uint64_t link, std::string_view bytes, mesh::write_pace pace = mesh::write_pace::unlimited);
     /// Whether bytes wait to be sent to a connected peer.
     bool hasUnsentBytes() const;
 
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -1,4 +1,4 @@
-// Other nodes: frames from them, their state, and distribution of the configuration.
+// Other nodes: frames from them, and their state.
 
 #include "state.h"
 #include <algorithm>
@@ -6,18 +6,10 @@
 namespace limpet::mesh {
 namespace {
 
-    // Between two requests for a new configuration, and before a node that reads it from the store makes one.
-    constexpr duration pullInterval = std::chrono::milliseconds(400);
-    // A node that does not get a new configuration from other nodes reads it from the store after this time.
-    constexpr duration maxPullTime = std::chrono::milliseconds(1500);
-    // Between two requests to another region, where a large document may take longer than pullInterval to arrive.
-    constexpr duration otherRegionPullInterval = std::chrono::seconds(1);
     constexpr duration maxRetryAfter = std::chrono::seconds(10);
     // Datagrams of an earlier run of a node arrive no later than this after its last one.
     constexpr duration clockRollbackTimeout = std::chrono::milliseconds(1300);
 
-    enum class peer_distance : std::uint8_t { ownZone, ownRegion, otherRegion };
-
 } // namespace
 
 endpoint* node::state::peerByAddress(const socket_address& address)
@@ -95,14 +87,12 @@
         const auto retryAfter = std::clamp(duration(frame.failure->retry_after_us), duration(0), maxRetryAfter);
         attemptFailed(frame.failure->id, kind, retryAfter, now, out);
     }
-    if (frame.configuration_pull && !document.empty()) {
-        wire::frame_data reply;
-        reply.configuration_push = std::make_unique<wire::configuration_copy_data>();
-        reply.configuration_push->document = document;
-        replyOver(received.link, std::move(reply), now, out);
-    }
-    if (frame.configuration_push)
+    if (frame.configuration_pull)
+        sendConfiguration(received.link, *frame.configuration_pull, now, out);
+    if (frame.configuration_push) {
+        endPull(received.peer, now);
         out.emplace_back(load_configuration { std::move(frame.configuration_push->document) });
+    }
 }
 
 bool node::state::isLive(const endpoint& peer, time_point now) const
@@ -175,19 +165,7 @@
     for (const auto& each : status.uses)
         reports.push_back({ each.team(), each.admitted(), each.demand() });
     rates.mergeReports(status.node, status.run, reports, now);
-    const auto held = config ? config->content().version : 0;
-    if (status.configuration <= held)
-        return;
-    if (newestVersion <= held)
-        outdatedSince = now;
-    const bool isNews = status.configuration > newestVersion;
-    newestVersion = std::max(newestVersion, status.configuration);
-    const bool isOffered = status.availability_zone == options.availabilityZone
-        && status.configuration > requestedVersion && !readsConfiguration(now);
-    if (isOffered || (isNews && held == 0))
-        nextPullAt = now;
-    else if (isNews)
-        nextPullAt = now + pullInterval;
+    considerOffer(status, now);
 }
 
 void node::state::addListedNodes(const nodes_listed& listed, time_point now)
@@ -195,6 +173,7 @@
     const bool includesSelf = std::any_of(listed.nodes.begin(), listed.nodes.end(),
         [&](const listed_node& each) { return each.address == options.address; });
     rates.setListedNodes(listed.nodes.size() + (includesSelf ? 0 : 1));
+    shortenIntroduction(now);
     for (const auto& each : listed.nodes) {
         if (each.address == options.address || unknownNodes.contains(each.address))
             continue;
@@ -223,86 +202,4 @@
     }
 }
 
-/// Returns one of the nearest live nodes with a newer configuration, or nullptr. Documents are large, and all nodes
-/// request one at about the same time: for a while, only those of the own zone and then of the region are asked.
-const endpoint* node::state::configurationSource(time_point now)
-{
-    const auto held = config ? config->content().version : 0;
-    const auto distance = [&](const endpoint& peer) {
-        if (peer.region != options.region)
-            return peer_distance::otherRegion;
-        return peer.availabilityZone == options.availabilityZone ? peer_distance::ownZone : peer_distance::ownRegion;
-    };
-    const bool waitedLong = now - outdatedSince >= pullInterval;
-    auto maxDistance = peer_distance::ownZone;
-    if (held == 0 || (waitedLong && readsConfiguration(now)))
-        maxDistance = peer_distance::otherRegion;
-    else if (waitedLong)
-        maxDistance = peer_distance::ownRegion;
-    std::vector<const endpoint*> nearest;
-    for (const auto& [name, peer] : peers) {
-        if (peer.configurationVersion <= held || !isLive(peer, now) || distance(peer) > maxDistance)
-            continue;
-        if (!nearest.empty() && distance(peer) < distance(*nearest.front()))
-            nearest.clear();
-        if (nearest.empty() || distance(peer) == distance(*nearest.front()))
-            nearest.push_back(&peer);
-    }
-    if (nearest.empty())
-        return nullptr;
-    const auto drawn = static_cast<std::size_t>(random.uniform() * static_cast<double>(nearest.size()));
-    return nearest[std::min(drawn, nearest.size() - 1)];
-}
-
-/// A configuration read by every node would cross the links between regions once for each of them, and hold up all
-/// other traffic there.
-bool node::state::readsConfiguration(time_point now) const
-{
-    const auto held = config ? config->content().version : 0;
-    if (newestVersion > held && now - outdatedSince > maxPullTime)
-        return true;
-    return std::none_of(peers.begin(), peers.end(), [&](const auto& each) {
-        const auto& peer = each.second;
-        return peer.availabilityZone == options.availabilityZone && peer.node < options.name && !peer.leaving
-            && !peer.storeLost && now - peer.lastSeen <= scaleInterval(relayTimeout);
-    });
-}
-
-void node::state::pullConfiguration(time_point now, actions& out)
-{
-    const auto held = config ? config->content().version : 0;
-    if (newestVersion <= held || now < nextPullAt)
-        return;
-    nextPullAt = now + pullInterval;
-    const auto* nearest = configurationSource(now);
-    if (!nearest)
-        return;
-    if (nearest->region != options.region)
-        nextPullAt = now + otherRegionPullInterval;
-    requestedVersion = nearest->configurationVersion;
-    wire::frame_data frame;
-    frame.configuration_pull = std::make_unique<wire::configuration_request_data>();
-    sendFrame(nearest->address, std::move(frame), 1, now, out);
-}
-
-void node::state::applyConfiguration(configuration_received received, time_point now, actions& out)
-{
-    const auto held = config ? config->content().version : 0;
-    const auto version = received.content->content().version;
-    if (version <= held)
-        return;
-    log(out, "configuration",
-        { { "version", std::to_string(version) }, { "before", std::to_string(held) },
-            { "routes", std::to_string(received.content->content().routes.size()) },
-            { "teams", std::to_string(received.content->content().teams.size()) } });
-    config = std::move(received.content);
-    document = std::move(received.document);
-    newestVersion = std::max(newestVersion, version);
-    outdatedSince = now;
-    rates.configure(config->content().teams, now);
-    serviceCredit.clear();
-    urgentStatusDue = true;
-    checkCandidate(now, out);
-}
-
 } // namespace limpet::mesh
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -882,14 +882,18 @@
 
         struct configuration_request_data : public flatbuffers::NativeTable {
             typedef configuration_request TableType;
+            std::string region {};
         };
 
         struct configuration_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
             typedef configuration_request_data NativeTableType;
             typedef configuration_requestBuilder Builder;
+            enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_REGION = 4 };
+            const flatbuffers::String* region() const { return GetPointer<const flatbuffers::String*>(VT_REGION); }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
-                return VerifyTableStart(verifier) && verifier.EndTable();
+                return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_REGION)
+                    && verifier.VerifyString(region()) && verifier.EndTable();
             }
             configuration_request_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(
@@ -902,6 +906,10 @@
             typedef configuration_request Table;
             flatbuffers::FlatBufferBuilder& fbb_;
             flatbuffers::uoffset_t start_;
+            void add_region(flatbuffers::Offset<flatbuffers::String> region)
+            {
+                fbb_.AddOffset(configuration_request::VT_REGION, region);
+            }
             explicit configuration_requestBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -916,12 +924,20 @@
         };
 
         inline flatbuffers::Offset<configuration_request> Createconfiguration_request(
-            flatbuffers::FlatBufferBuilder& _fbb)
+            flatbuffers::FlatBufferBuilder& _fbb, flatbuffers::Offset<flatbuffers::String> region = 0)
         {
             configuration_requestBuilder builder_(_fbb);
+            builder_.add_region(region);
             return builder_.Finish();
         }
 
+        inline flatbuffers::Offset<configuration_request> Createconfiguration_requestDirect(
+            flatbuffers::FlatBufferBuilder& _fbb, const char* region = nullptr)
+        {
+            auto region__ = region ? _fbb.CreateString(region) : 0;
+            return limpet::mesh::wire::Createconfiguration_request(_fbb, region__);
+        }
+
         flatbuffers::Offset<configuration_request> Createconfiguration_request(flatbuffers::FlatBufferBuilder& _fbb,
             const configuration_request_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
 
@@ -2218,6 +2234,11 @@
         {
             (void)_o;
             (void)_resolver;
+            {
+                auto _e = region();
+                if (_e)
+                    _o->region = _e->str();
+            }
         }
 
         inline flatbuffers::Offset<configuration_request> configuration_request::Pack(
@@ -2239,7 +2260,8 @@
                 const flatbuffers::rehasher_function_t* __rehasher;
             } _va = { &_fbb, _o, _rehasher };
             (void)_va;
-            return limpet::mesh::wire::Createconfiguration_request(_fbb);
+            auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+            return limpet::mesh::wire::Createconfiguration_request(_fbb, _region);
         }
 
         inline configuration_copy_data* configuration_copy::UnPack(
--- a/src/libmesh/mesh_network_test.h
+++ b/src/libmesh/mesh_network_test.h
@@ -30,6 +30,9 @@
     std::uint64_t seed = 1;
     bool treeAware = true;
     std::vector<nested_calls> nestedCalls;
+    std::size_t regionBytesPerSecond = 0; ///< of the links between regions, shared by all nodes; 0: unlimited
+    std::string storeRegion; ///< of the store that nodes without a configuration read; empty: there is none
+    std::size_t documentBytes = 8; ///< of the configuration
 };
 
 /// A client request and its result.
@@ -40,6 +43,13 @@
     int status = 0; ///< 0: no response yet
     std::string route;
     std::function<void(int status)> onAnswer;
+    std::optional<time_point> leftAt; ///< when its client left before the response
+};
+
+/// The start of a request at a backend server.
+struct simulated_execution {
+    std::string requestId;
+    time_point at {};
 };
 
 class simulated_network {
@@ -83,7 +93,7 @@
     {
         m_config = makeIndex(config);
         for (auto& each : m_members)
-            dispatch(*each, configuration_received { m_config, "document" });
+            dispatch(*each, configuration_received { m_config, document() });
     }
 
     /// Sends every node the addresses of all nodes, as read from the store.
@@ -128,10 +138,28 @@
     {
         startNode(each);
         each.up = true;
-        if (m_config)
-            dispatch(each, configuration_received { m_config, "document" });
+        if (m_config && m_options.storeRegion.empty())
+            dispatch(each, configuration_received { m_config, document() });
         dispatch(each, nodeList());
         addBackend(each);
+        if (!m_options.storeRegion.empty())
+            readStore(each, each.run);
+    }
+
+    /// The client of a request leaves if it has no response yet.
+    void leave(member& at, std::size_t request)
+    {
+        if (requests.at(request).status != 0)
+            return;
+        requests.at(request).leftAt = m_now;
+        dispatch(at, client_disconnected { request + 1 });
+    }
+
+    /// Fills the link from a region to the others for that long.
+    void fillLink(const std::string& region, duration length)
+    {
+        auto& freeAt = m_linkFreeAt[region];
+        freeAt = std::max(freeAt, m_now) + length;
     }
 
     std::size_t send(
@@ -151,7 +179,7 @@
 
     void send(member& at, client_request made, std::function<void(int status)> onAnswer)
     {
-        requests.push_back({ at.location.name, m_now, {}, 0, made.content.path, std::move(onAnswer) });
+        requests.push_back({ at.location.name, m_now, {}, 0, made.content.path, std::move(onAnswer), {} });
         made.call = requests.size();
         made.host = "shop.example";
         dispatch(at, std::move(made));
@@ -223,6 +251,9 @@
     std::uint64_t datagramsTooLarge = 0;
     std::uint64_t statusesBetweenRegions = 0; ///< each status in a bundle counts
     std::uint64_t statusBytesBetweenRegions = 0;
+    std::vector<simulated_execution> executions;
+    std::uint64_t documentsBetweenRegions = 0;
+    duration longestLinkDelay { 0 }; ///< between regions, above the usual delay
 
 private:
     struct scheduled_event {
@@ -277,16 +308,65 @@
         return 0;
     }
 
-    duration delay(const member& from, const member& to) const
+    /// Returns the delay of a message of that size, which waits for those before it on the link between the regions.
+    duration delay(const std::string& fromRegion, const std::string& toRegion, std::size_t bytes)
     {
-        return from.location.region == to.location.region ? m_options.sameRegionDelay : m_options.otherRegionDelay;
+        if (fromRegion == toRegion)
+            return m_options.sameRegionDelay;
+        if (m_options.regionBytesPerSecond == 0)
+            return m_options.otherRegionDelay;
+        auto& freeAt = m_linkFreeAt[fromRegion];
+        const auto waits = std::max(freeAt - m_now, duration(0));
+        longestLinkDelay = std::max(longestLinkDelay, waits);
+        const double seconds = static_cast<double>(bytes) / static_cast<double>(m_options.regionBytesPerSecond);
+        freeAt = m_now + waits + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+        return freeAt - m_now + m_options.otherRegionDelay;
     }
 
-    void deliver(member& from, member& to, event given)
+    std::string document() const { return std::string(m_options.documentBytes, 'd'); }
+
+    /// A node without a configuration reads it from the store as soon as it should. Ends when it has one.
+    void readStore(member& each, std::uint64_t run)
+    {
+        constexpr duration pollInterval = std::chrono::milliseconds(20);
+        if (!each.up || each.run != run || each.subject->configurationVersion() > 0)
+            return;
+        if (!each.subject->readsConfiguration(m_now)) {
+            schedule(pollInterval, [this, &each, run] { readStore(each, run); });
+            return;
+        }
+        documentsBetweenRegions += each.location.region == m_options.storeRegion ? 0 : 1;
+        const auto wait = delay(m_options.storeRegion, each.location.region, m_options.documentBytes);
+        schedule(wait, [this, &each, run] {
+            if (each.run == run)
+                dispatch(each, configuration_received { m_config, document() });
+        });
+    }
+
+    /// Messages of up to that size are not split.
+    static constexpr std::size_t pieceBytes = 16 * 1024;
+
+    /// Writes a large message in pieces at the given rate, and delivers it with the last one.
+    void deliverPaced(member& from, member& to, event given, std::size_t bytes)
+    {
+        constexpr double bytesPerSecond = 1 << 20;
+        constexpr auto pieceTime = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(static_cast<double>(pieceBytes) / bytesPerSecond));
+        if (bytes <= pieceBytes) {
+            deliver(from, to, std::move(given), bytes);
+            return;
+        }
+        delay(from.location.region, to.location.region, pieceBytes);
+        schedule(pieceTime,
+            [this, &from, &to, given = std::move(given), bytes] { deliverPaced(from, to, given, bytes - pieceBytes); });
+    }
+
+    void deliver(member& from, member& to, event given, std::size_t bytes)
     {
         if (from.partitioned || to.partitioned)
             return;
-        schedule(delay(from, to), [this, &to, given = std::move(given), run = to.run] {
+        const auto wait = delay(from.location.region, to.location.region, bytes);
+        schedule(wait, [this, &to, given = std::move(given), run = to.run] {
             if (!to.partitioned && to.run == run)
                 dispatch(to, given);
         });
@@ -304,20 +384,37 @@
                     schedule(duration(1), [done = request.onAnswer, status = request.status] { done(status); });
             } else if (auto* frame = std::get_if<send_frame>(&each)) {
                 if (auto* to = at(frame->peer))
-                    deliver(from, *to, frame_received { linkOf(from), {}, frame->bytes });
+                    deliver(from, *to, frame_received { linkOf(from), {}, frame->bytes }, frame->bytes.size());
             } else if (auto* reply = std::get_if<reply_frame>(&each)) {
-                auto& to = *m_members.at(reply->link - 1);
-                deliver(from, to, frame_received { linkOf(from), from.address, reply->bytes });
+                sendReply(from, *reply);
             } else if (auto* status = std::get_if<send_status>(&each)) {
                 sendStatus(from, *status);
             } else if (auto* run = std::get_if<run_on_backend>(&each)) {
                 runOnBackend(from, *run);
             } else if (auto* cancel = std::get_if<cancel_on_backend>(&each)) {
                 from.cancelled.insert(cancel->attempt);
+            } else if (auto* load = std::get_if<load_configuration>(&each)) {
+                schedule(duration(1), [this, &from, run = from.run, document = load->document] {
+                    if (from.run == run)
+                        dispatch(from, configuration_received { m_config, document });
+                });
             }
         }
     }
 
+    void sendReply(member& from, const reply_frame& reply)
+    {
+        auto& to = *m_members.at(reply.link - 1);
+        frame_received received { linkOf(from), from.address, reply.bytes };
+        const bool crosses = from.location.region != to.location.region;
+        const auto frame = parseFrame(reply.bytes);
+        documentsBetweenRegions += crosses && frame && frame->configuration_push ? 1 : 0;
+        if (crosses && reply.pace != write_pace::unlimited)
+            deliverPaced(from, to, std::move(received), reply.bytes.size());
+        else
+            deliver(from, to, std::move(received), reply.bytes.size());
+    }
+
     void sendStatus(member& from, const send_status& status)
     {
         constexpr std::size_t maxDatagramBytes = 65507;
@@ -334,12 +431,13 @@
             statusesBetweenRegions += bundle->statuses.empty() ? 1 : bundle->statuses.size();
             statusBytesBetweenRegions += status.bytes.size();
         }
-        deliver(from, *to, status_received { from.address, status.bytes });
+        deliver(from, *to, status_received { from.address, status.bytes }, status.bytes.size());
     }
 
     void runOnBackend(member& at, const run_on_backend& run)
     {
         ++at.arrivals;
+        executions.push_back({ run.requestId, m_now });
         const bool rejects = m_random.uniform() < at.rejectedFraction;
         const auto wait = rejects ? std::chrono::milliseconds(1) : at.serviceTime;
         if (!rejects)
@@ -400,6 +498,7 @@
     std::shared_ptr<const configuration_index> m_config;
     std::priority_queue<scheduled_event> m_events;
     std::uint64_t m_nextEvent = 0;
+    std::map<std::string, time_point> m_linkFreeAt; ///< by the region that sends
 };
 
 } // namespace limpet::mesh::testing_support
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -47,6 +47,12 @@
     mesh::registry subject { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
     time_point now = start;
 
+    registry_fixture()
+    {
+        mesh::registry::outcome out;
+        subject.readConfiguration(true, now, out);
+    }
+
     void applyActions(mesh::registry::outcome out)
     {
         while (!out.calls.empty()) {
@@ -117,6 +123,16 @@
         }));
 }
 
+// Nodes that all started at once each read a large configuration over the link between the regions.
+TEST(registry, doesNotReadTheConfigurationBeforeThatIsWanted)
+{
+    registry_fixture fixture;
+    fixture.subject = mesh::registry { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
+    fixture.runFor(3s);
+    EXPECT_EQ(configurationReads(fixture), 0U);
+    EXPECT_EQ(fixture.store.count<store_txn>(), 1U);
+}
+
 TEST(registry, readsTheConfigurationAgainAfterItsWatchEnded)
 {
     registry_fixture fixture;
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -67,6 +67,10 @@
         {
             own.links.erase(each.link);
             own.cancelLinkServing(each.link, now, out);
+            if (each.carried == traffic_class::bulk) {
+                own.endPull(each.peer, now);
+                return;
+            }
             auto* peer = own.peerByAddress(each.peer);
             if (!peer)
                 return;
@@ -100,6 +104,8 @@
 
 void node::state::tick(time_point now, actions& out)
 {
+    if (startedAt == time_point::max())
+        startIntroduction(now);
     expireCalls(now, out);
     hedgeSilentAttempts(now, out);
     if (now >= servingDeadline())
@@ -118,7 +124,7 @@
 
 time_point node::state::nextTimer() const
 {
-    auto next = std::min(nextStatusAt, nextBundleAt);
+    auto next = std::min({ nextStatusAt, nextBundleAt, nextConfigurationTimer() });
     if (!deadlines.empty())
         next = std::min(next, deadlines.begin()->first);
     if (!impatience.empty())
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -14,6 +14,7 @@
 registry::registry(options given)
     : m_options(std::move(given))
 {
+    taskFor(task_kind::configuration).at = never;
     taskFor(task_kind::entry).at = never;
     taskFor(task_kind::keepAlive).at = never;
     taskFor(task_kind::list).at = never;
@@ -147,6 +148,8 @@
         taskFor(task_kind::lease).at = now;
         return;
     }
+    if (which == task_kind::configuration && !m_readsConfiguration)
+        return;
     taskFor(which).at = now + m_options.retryInterval;
     // While the store is unreachable, all other tasks wait for this retry, so that only one call is made.
     if (m_storeReachable)
@@ -161,9 +164,9 @@
 
 void registry::readConfiguration(bool wanted, time_point now, outcome& out)
 {
-    if (wanted || m_readingWantedAt == time_point {})
+    if (wanted)
         m_readingWantedAt = now;
-    const bool reads = now - m_readingWantedAt <= readingLinger;
+    const bool reads = m_readingWantedAt != time_point::min() && now - m_readingWantedAt <= readingLinger;
     if (reads == m_readsConfiguration)
         return;
     m_readsConfiguration = reads;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -252,9 +252,10 @@
     // ---- Links (transit.cpp) ----
     std::unordered_map<std::uint64_t, link_state> links;
 
-    void sendFrame(
-        const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now, actions& out) const;
-    void replyOver(std::uint64_t link, wire::frame_data frame, time_point now, actions& out) const;
+    void sendFrame(const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now,
+        actions& out, traffic_class traffic = traffic_class::calls) const;
+    void replyOver(std::uint64_t link, wire::frame_data frame, time_point now, actions& out,
+        write_pace pace = write_pace::unlimited) const;
     frame_age measureAge(const frame_received& received, std::uint32_t timestamp, time_point now, actions& out);
 
     // ---- Other nodes (members.cpp, dissemination.cpp) ----
@@ -277,10 +278,6 @@
         unsigned servers = 0;
     };
     std::unordered_map<std::string, service_load> serviceLoads;
-    std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
-    time_point outdatedSince {}; ///< when this node last knew of a newer version without progress
-    std::uint64_t requestedVersion = 0; ///< held by the node that was last asked for its configuration
-    time_point nextPullAt {};
     bool storeReachable = true;
 
     void receiveFrame(const frame_received& received, time_point now, actions& out);
@@ -303,13 +300,34 @@
     bool isLive(const endpoint& peer, time_point now) const;
     std::vector<std::string> relaysOf(const std::string& zone, time_point now) const;
     std::string ownStatus(bool replyRequested, time_point now);
+    void addListedNodes(const nodes_listed& listed, time_point now);
+    void expirePeers(time_point now, actions& out);
+    endpoint* peerByAddress(const socket_address& address);
+
+    // ---- Distribution of the configuration (configuration_source.cpp) ----
+    std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
+    time_point startedAt = time_point::max(); ///< time of the first tick
+    bool introduced = false; ///< knows the nodes of its zone, after its start
+    time_point introductionEndsAt = time_point::max();
+    time_point outdatedSince {}; ///< when this node last knew of a newer version without progress
+    std::uint64_t requestedVersion = 0; ///< held by the node that was last asked for its configuration
+    time_point nextPullAt {};
+    std::optional<socket_address> pullInFlight; ///< node that was asked and has not replied
+    time_point pullTimeoutAt {}; ///< of pullInFlight
+
+    std::uint64_t heldVersion() const { return config ? config->content().version : 0; }
     void pullConfiguration(time_point now, actions& out);
+    void sendConfiguration(
+        std::uint64_t link, const wire::configuration_request_data& request, time_point now, actions& out) const;
+    void endPull(const socket_address& source, time_point now);
+    void considerOffer(const wire::status_data& status, time_point now);
     const endpoint* configurationSource(time_point now);
+    std::size_t earlierNodes(time_point now) const;
+    void startIntroduction(time_point now);
+    void shortenIntroduction(time_point now);
     bool readsConfiguration(time_point now) const;
+    time_point nextConfigurationTimer() const;
     void applyConfiguration(configuration_received received, time_point now, actions& out);
-    void addListedNodes(const nodes_listed& listed, time_point now);
-    void expirePeers(time_point now, actions& out);
-    endpoint* peerByAddress(const socket_address& address);
 
     void handle(event event, time_point now, actions& out);
     void tick(time_point now, actions& out);
--- a/src/libmesh/transit.cpp
+++ b/src/libmesh/transit.cpp
@@ -12,18 +12,19 @@
 } // namespace
 
 /// Sends a frame over the link to that node. expectedReplyDelta: change of the number of replies expected from it.
-void node::state::sendFrame(
-    const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now, actions& out) const
+void node::state::sendFrame(const socket_address& to, wire::frame_data frame, int expectedReplyDelta, time_point now,
+    actions& out, traffic_class traffic) const
 {
     frame.sent_ms = frameTimestamp(now);
-    out.emplace_back(send_frame { to, encodeFrame(frame), expectedReplyDelta });
+    out.emplace_back(send_frame { to, encodeFrame(frame), expectedReplyDelta, traffic });
 }
 
-/// Sends a frame over the link on which a call arrived.
-void node::state::replyOver(std::uint64_t link, wire::frame_data frame, time_point now, actions& out) const
+/// Sends a frame over the link on which a frame arrived.
+void node::state::replyOver(
+    std::uint64_t link, wire::frame_data frame, time_point now, actions& out, write_pace pace) const
 {
     frame.sent_ms = frameTimestamp(now);
-    out.emplace_back(reply_frame { link, encodeFrame(frame) });
+    out.emplace_back(reply_frame { link, encodeFrame(frame), pace });
 }
 
 /// Returns how long a received frame was under way, counts its delay, and logs when the link becomes slow or fast.
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -148,7 +148,8 @@
         [this](mesh::link_closed closed) {
             if (!closed.peer.ip.empty())
                 logEvent({ "link_closed",
-                    { { "peer", toText(closed.peer) }, { "opened", closed.established ? "1" : "0" } } });
+                    { { "peer", toText(closed.peer) }, { "opened", closed.established ? "1" : "0" },
+                        { "bulk", closed.carried == mesh::traffic_class::bulk ? "1" : "0" } } });
             handle(std::move(closed));
         },
         [this](mesh::link_suspected suspected) { handle(std::move(suspected)); },
@@ -274,9 +275,12 @@
         }
         void operator()(const mesh::send_frame& each) const
         {
-            daemon.nodeLinks.send(each.peer, each.bytes, each.expectedReplyDelta);
+            daemon.nodeLinks.send(each.peer, each.bytes, each.expectedReplyDelta, each.traffic);
+        }
+        void operator()(const mesh::reply_frame& each) const
+        {
+            daemon.nodeLinks.reply(each.link, each.bytes, each.pace);
         }
-        void operator()(const mesh::reply_frame& each) const { daemon.nodeLinks.reply(each.link, each.bytes); }
         void operator()(const mesh::send_status& each) const
         {
             // Same effect as a datagram lost in the network: the next status supersedes it.
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -11,6 +11,8 @@
     constexpr std::size_t lengthFieldBytes = 4;
     constexpr std::size_t headerBytes = lengthFieldBytes + 1;
     constexpr duration timeoutCheckInterval = std::chrono::milliseconds(150);
+    // Between two writes of paced messages.
+    constexpr duration paceInterval = std::chrono::milliseconds(10);
 
     enum class frame_kind : std::uint8_t { message = 0, ping = 1, pong = 2 };
 
@@ -19,6 +21,8 @@
         watched_socket socket;
         socket_address peer; ///< empty for a link that the peer opened
         bool outgoing = false; ///< opened by this node
+        mesh::traffic_class traffic = mesh::traffic_class::calls; ///< if opened by this node
+        mesh::write_pace pace = mesh::write_pace::unlimited; ///< of the bytes that wait to be sent
         bool connecting = false;
         std::string input; ///< received bytes that do not form a complete frame yet
         write_buffer out;
@@ -48,6 +52,19 @@
         return length;
     }
 
+    /// Bytes that are written in that time at a rate in bytes per second, at least one.
+    std::size_t bytesIn(duration time, std::size_t rate)
+    {
+        return std::max<std::size_t>(
+            static_cast<std::size_t>(std::chrono::duration<double>(time).count() * static_cast<double>(rate)), 1);
+    }
+
+    duration timeOf(std::size_t bytes, std::size_t rate)
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(static_cast<double>(bytes) / static_cast<double>(rate)));
+    }
+
 } // namespace
 
 struct frame_links::state {
@@ -57,15 +74,24 @@
     frame_links_options options;
     watched_socket listener;
     std::unordered_map<std::uint64_t, link> links;
-    std::map<socket_address, std::uint64_t> outgoingLinks;
+    std::map<std::pair<socket_address, mesh::traffic_class>, std::uint64_t> outgoingLinks;
+    std::deque<std::uint64_t> pacedLinks; ///< with bytes that wait to be sent, in the order in which they are served
+    std::uint64_t paceTimer = 0; ///< 0: no paced message waits
     std::uint64_t nextSerial = 1;
     std::uint64_t timeoutCheckTimer = 0;
 
     void acceptConnections();
-    link& openLink(const socket_address& peer);
+    link& openLink(const socket_address& peer, mesh::traffic_class traffic);
     void sendFrame(link& peerLink, frame_kind kind, std::string_view bytes);
     void handleReady(std::uint64_t serial, std::uint32_t events);
     bool readFrames(std::uint64_t serial, std::uint32_t events);
+    bool flush(link& peerLink) const;
+    void startPacing(link& peerLink, mesh::write_pace pace);
+    void writePaced();
+    std::size_t paceOf(mesh::write_pace pace) const
+    {
+        return pace == mesh::write_pace::sameRegion ? options.sameRegionPace : options.otherRegionPace;
+    }
     void close(std::uint64_t serial);
     bool hasExpired(const link& peerLink, time_point now) const;
     bool pingDue(const link& peerLink, time_point now) const;
@@ -78,7 +104,11 @@
 {
 }
 
-frame_links::~frame_links() { m_state->loop.cancelTimer(m_state->timeoutCheckTimer); }
+frame_links::~frame_links()
+{
+    m_state->loop.cancelTimer(m_state->timeoutCheckTimer);
+    m_state->loop.cancelTimer(m_state->paceTimer);
+}
 
 result<void> frame_links::listen()
 {
@@ -91,20 +121,24 @@
     return {};
 }
 
-void frame_links::send(const socket_address& peer, std::string_view bytes, int expectedReplyDelta)
+void frame_links::send(
+    const socket_address& peer, std::string_view bytes, int expectedReplyDelta, mesh::traffic_class traffic)
 {
     auto& impl = *m_state;
-    const auto found = impl.outgoingLinks.find(peer);
-    auto& peerLink = found == impl.outgoingLinks.end() ? impl.openLink(peer) : impl.links.at(found->second);
+    const auto found = impl.outgoingLinks.find({ peer, traffic });
+    auto& peerLink = found == impl.outgoingLinks.end() ? impl.openLink(peer, traffic) : impl.links.at(found->second);
     peerLink.expectedReplies = std::max(0, peerLink.expectedReplies + expectedReplyDelta);
     impl.sendFrame(peerLink, frame_kind::message, bytes);
 }
 
-void frame_links::reply(std::uint64_t link, std::string_view bytes)
+void frame_links::reply(std::uint64_t link, std::string_view bytes, mesh::write_pace pace)
 {
     const auto found = m_state->links.find(link);
-    if (found != m_state->links.end())
-        m_state->sendFrame(found->second, frame_kind::message, bytes);
+    if (found == m_state->links.end())
+        return;
+    if (pace != mesh::write_pace::unlimited)
+        m_state->startPacing(found->second, pace);
+    m_state->sendFrame(found->second, frame_kind::message, bytes);
 }
 
 bool frame_links::hasUnsentBytes() const
@@ -135,17 +169,18 @@
 
 /// Returns a link that is connecting. If the connect fails at once, the link closes in a later iteration and takes
 /// along the messages that are sent until then: each message is on exactly one link, whose end tells what became of it.
-link& frame_links::state::openLink(const socket_address& peer)
+link& frame_links::state::openLink(const socket_address& peer, mesh::traffic_class traffic)
 {
     const auto serial = nextSerial++;
     auto& peerLink = links[serial];
     peerLink.serial = serial;
     peerLink.peer = peer;
     peerLink.outgoing = true;
+    peerLink.traffic = traffic;
     peerLink.connecting = true;
     peerLink.openedAt = bootTime();
     peerLink.lastReceived = peerLink.openedAt;
-    outgoingLinks[peer] = serial;
+    outgoingLinks[{ peer, traffic }] = serial;
     const int descriptor = startConnect(peer, options.pingTimeout);
     if (descriptor >= 0)
         peerLink.socket
@@ -164,12 +199,59 @@
     if (kind == frame_kind::message)
         peerLink.lastSent = bootTime();
     if (!broken && !peerLink.connecting)
-        broken = !peerLink.out.flush(peerLink.socket.get());
+        broken = !flush(peerLink);
     // Closing invokes a callback, so it is deferred until the caller has finished handling its event.
     if (broken)
         loop.callAt(bootTime(), [this, serial] { close(serial); });
 }
 
+/// Writes what the peer accepts, unless its messages are paced. Returns false if the connection is broken.
+bool frame_links::state::flush(link& peerLink) const
+{
+    return peerLink.pace != mesh::write_pace::unlimited || peerLink.out.flush(peerLink.socket.get());
+}
+
+/// Paces the bytes that wait to be sent over the link from now on, until all are written.
+void frame_links::state::startPacing(link& peerLink, mesh::write_pace pace)
+{
+    if (peerLink.pace == mesh::write_pace::unlimited)
+        pacedLinks.push_back(peerLink.serial);
+    peerLink.pace = pace;
+    if (paceTimer == 0)
+        paceTimer = loop.callAt(bootTime() + paceInterval, [this] { writePaced(); });
+}
+
+/// Writes to the links with paced messages, one after the other: a message that is complete early can be passed on by
+/// its receiver.
+void frame_links::state::writePaced()
+{
+    auto share = paceInterval;
+    std::vector<std::uint64_t> broken;
+    for (auto left = pacedLinks.size(); left > 0 && share > duration(0); --left) {
+        const auto serial = pacedLinks.front();
+        pacedLinks.pop_front();
+        const auto found = links.find(serial);
+        if (found == links.end())
+            continue;
+        auto& peerLink = found->second;
+        const auto rate = paceOf(peerLink.pace);
+        const auto before = peerLink.out.size();
+        if (!peerLink.out.flush(peerLink.socket.get(), bytesIn(share, rate)))
+            broken.push_back(serial);
+        const auto written = before - peerLink.out.size();
+        share -= timeOf(written, rate);
+        if (peerLink.out.empty())
+            peerLink.pace = mesh::write_pace::unlimited;
+        else if (share > duration(0))
+            pacedLinks.push_back(serial); // its peer accepts no more for now
+        else
+            pacedLinks.push_front(serial);
+    }
+    paceTimer = pacedLinks.empty() ? 0 : loop.callAt(bootTime() + paceInterval, [this] { writePaced(); });
+    for (const auto serial : broken)
+        close(serial);
+}
+
 void frame_links::state::handleReady(std::uint64_t serial, std::uint32_t events)
 {
     auto& peerLink = links.at(serial);
@@ -183,7 +265,7 @@
         peerLink.connecting = false;
         peerLink.lastReceived = bootTime();
     }
-    if (!peerLink.out.flush(peerLink.socket.get())) {
+    if (!flush(peerLink)) {
         close(serial);
         return;
     }
@@ -202,7 +284,8 @@
     peerLink.lastReceived = bootTime();
     peerLink.pingSentAt = {};
     const auto peer = peerLink.peer;
-    const bool wasSuspected = std::exchange(peerLink.suspected, false);
+    const bool wasSuspected
+        = std::exchange(peerLink.suspected, false) && peerLink.traffic == mesh::traffic_class::calls;
     std::size_t used = 0;
     std::vector<std::string> messages;
     while (peerLink.input.size() - used >= headerBytes) {
@@ -237,9 +320,9 @@
     const auto found = links.find(serial);
     if (found == links.end())
         return;
-    mesh::link_closed closed { serial, found->second.peer, !found->second.connecting };
+    mesh::link_closed closed { serial, found->second.peer, !found->second.connecting, found->second.traffic };
     if (found->second.outgoing)
-        outgoingLinks.erase(found->second.peer);
+        outgoingLinks.erase({ found->second.peer, found->second.traffic });
     links.erase(found);
     callbacks.closed(closed);
 }
@@ -277,7 +360,8 @@
         } else if (peerLink.outgoing && peerLink.pingSentAt != time_point {} && !peerLink.suspected
             && now - peerLink.pingSentAt > options.suspectAfter) {
             peerLink.suspected = true;
-            suspected.push_back(peerLink.peer);
+            if (peerLink.traffic == mesh::traffic_class::calls)
+                suspected.push_back(peerLink.peer);
         }
     }
     for (const auto& peer : suspected)
--- a/src/libproxy/proxy_links_test.cpp
+++ b/src/libproxy/proxy_links_test.cpp
@@ -18,8 +18,9 @@
     std::vector<mesh::link_suspected> suspected;
     std::vector<mesh::link_closed> closed;
     bool working = false; ///< on messages of the peer
+    std::function<void(const mesh::frame_received&)> onFrame = [](const mesh::frame_received&) {};
     frame_links links { loop, { "127.0.0.1", linksPort },
-        { [](const mesh::frame_received&) {},
+        { [this](const mesh::frame_received& frame) { onFrame(frame); },
             [this](const mesh::link_closed& notification) { closed.push_back(notification); },
             [this](const mesh::link_suspected& notification) { suspected.push_back(notification); },
             [this](std::uint64_t) { return working; } } };
@@ -128,4 +129,82 @@
     close(fixture.accept());
 }
 
+// A large configuration that was sent over the link of the calls held them up for a second.
+TEST(links, bulkHasALinkOfItsOwn)
+{
+    links_fixture fixture;
+    const socket_address peer { "127.0.0.1", peerPort };
+    fixture.links.send(peer, "a call", 1);
+    fixture.links.send(peer, "a request for a document", 1, mesh::traffic_class::bulk);
+    const int calls = fixture.accept();
+    const int bulk = fixture.accept();
+    close(bulk);
+    ASSERT_TRUE(runUntil(fixture.loop, [&] { return !fixture.closed.empty(); }));
+    EXPECT_EQ(fixture.closed.front().carried, mesh::traffic_class::bulk);
+    close(calls);
+}
+
+TEST(links, peerIsNotSuspectedBecauseOfALinkForBulk)
+{
+    links_fixture fixture;
+    fixture.links.send({ "127.0.0.1", peerPort }, "a request for a document", 1, mesh::traffic_class::bulk);
+    const int peer = fixture.accept();
+    runFor(fixture.loop, 1200ms);
+    EXPECT_TRUE(fixture.suspected.empty());
+    close(peer);
+}
+
+/// Returns the number of bytes that arrive in that time.
+std::size_t receivedIn(reactor& loop, int descriptor, duration length)
+{
+    std::size_t received = 0;
+    const auto end = bootTime() + length;
+    while (bootTime() < end) {
+        runFor(loop, 5ms);
+        std::array<char, 65536> buffer {};
+        for (auto count = recv(descriptor, buffer.data(), buffer.size(), 0); count > 0;
+             count = recv(descriptor, buffer.data(), buffer.size(), 0))
+            received += static_cast<std::size_t>(count);
+    }
+    return received;
+}
+
+// A configuration that was written at once filled the link between two regions.
+TEST(links, pacedMessageIsWrittenSlowlyAndWhole)
+{
+    links_fixture fixture;
+    std::vector<std::uint64_t> opened;
+    fixture.onFrame = [&](const mesh::frame_received& frame) { opened.push_back(frame.link); };
+    const std::string request { 2, 0, 0, 0, 0, 'r' };
+    std::vector<int> peers;
+    for (int count = 0; count < 2; ++count) {
+        peers.push_back(openSocket(linksPort, false));
+        EXPECT_EQ(write(peers.back(), request.data(), request.size()), static_cast<ssize_t>(request.size()));
+    }
+    ASSERT_TRUE(runUntil(fixture.loop, [&] { return opened.size() == 2; }));
+    const std::string document(600'000, 'd');
+    for (const auto link : opened)
+        fixture.links.reply(link, document, mesh::write_pace::otherRegion);
+    std::array<std::size_t, 2> received {};
+    for (int step = 0; step < 10; ++step) {
+        for (std::size_t index = 0; index < peers.size(); ++index)
+            received.at(index) += receivedIn(fixture.loop, peers.at(index), 20ms);
+    }
+    // 400 ms at 1 MB/s for both together. The event loop may be late, but never writes faster.
+    EXPECT_LE(received[0] + received[1], 500'000U);
+    EXPECT_GT(received[0] + received[1], 0U);
+    EXPECT_TRUE(fixture.links.hasUnsentBytes());
+    for (int step = 0; step < 200 && fixture.links.hasUnsentBytes(); ++step) {
+        for (std::size_t index = 0; index < peers.size(); ++index)
+            received.at(index) += receivedIn(fixture.loop, peers.at(index), 20ms);
+    }
+    for (std::size_t index = 0; index < peers.size(); ++index)
+        received.at(index) += receivedIn(fixture.loop, peers.at(index), 20ms);
+    constexpr std::size_t headerBytes = 5;
+    EXPECT_EQ(received[0], document.size() + headerBytes);
+    EXPECT_EQ(received[1], document.size() + headerBytes);
+    for (const int peer : peers)
+        close(peer);
+}
+
 } // namespace
--- a/src/libproxy/sockets.cpp
+++ b/src/libproxy/sockets.cpp
@@ -161,15 +161,17 @@
     return read_outcome::more;
 }
 
-bool write_buffer::flush(int descriptor)
+bool write_buffer::flush(int descriptor, std::size_t maxBytes)
 {
-    while (!empty()) {
-        const auto count = send(descriptor, m_bytes.data() + m_sentBytes, size(), MSG_NOSIGNAL);
+    while (!empty() && maxBytes > 0) {
+        const auto count = send(descriptor, m_bytes.data() + m_sentBytes, std::min(size(), maxBytes), MSG_NOSIGNAL);
         if (count < 0)
             return errno == EAGAIN || errno == EINTR;
         m_sentBytes += static_cast<std::size_t>(count);
+        maxBytes -= static_cast<std::size_t>(count);
     }
-    clear();
+    if (empty())
+        clear();
     return true;
 }
 
--- a/src/libproxy/sockets.h
+++ b/src/libproxy/sockets.h
@@ -45,8 +45,8 @@
     void add(std::string_view bytes) { m_bytes.append(bytes); }
     bool empty() const { return m_sentBytes == m_bytes.size(); }
     std::size_t size() const { return m_bytes.size() - m_sentBytes; }
-    /// Writes as much as the descriptor accepts. Returns false if the connection is broken.
-    bool flush(int descriptor);
+    /// Writes as much as the descriptor accepts, up to maxBytes. Returns false if the connection is broken.
+    bool flush(int descriptor, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
     void clear();
 
 private:
