Hold further calls of an execution whose caller may have left unnoticed

Cause: the cancel of an execution may wait on its way like a call does. Until it arrives, the backend server makes further calls, and each of them was sent, with whole trees below it. Change: a link is current up to the time until which all that its peer sent has arrived. A call of an execution whose link has not been current for 0.3 s is held while the caller is asked. It is sent when the caller confirms within 0.3 s, asked for again after a later confirmation, refused when the caller has left, and ends with its deadline. Only peers that write timestamps are asked. Non-idempotent executions go on as before. Weighed: asking for each running execution at an interval (400 messages a second at a node with 80 peers); ending executions whose link is late (most are still wanted).

--- a/src/libmesh/confirmation.cpp
+++ b/src/libmesh/confirmation.cpp
@@ -13,12 +13,73 @@
     confirmationTimeouts.emplace(now + options.maxUncheckedAge, key);
     unconfirmedCalls.emplace(key, unconfirmed_call { std::move(received), now });
     ++counts.checkedCalls;
+    sendCheck(key, now, out);
+}
+
+void node::state::sendCheck(const serving_key& key, time_point now, actions& out) const
+{
     wire::frame_data frame;
     frame.check = std::make_unique<wire::call_check_data>();
     frame.check->id = key.id;
     replyOver(key.link, std::move(frame), now, out);
 }
 
+/// Holds a call of an execution if the cancel of that execution may be under way: nothing recent has arrived over its
+/// link. Its caller is asked.
+bool node::state::holdForParent(const ingress_call& call, time_point now, actions& out)
+{
+    const auto parent = call.parent ? serving.find(*call.parent) : serving.end();
+    if (parent == serving.end() || !parent->second.content.idempotent)
+        return false;
+    const serving_key key { parent->second.link, parent->second.id };
+    const auto link = links.find(key.link);
+    if (link == links.end() || !link->second.answersChecks || now - link->second.currentAt <= options.maxUncheckedAge)
+        return false;
+    auto& held = heldCalls[key];
+    held.calls.push_back(call.request.call);
+    if (held.calls.size() > 1)
+        return true;
+    held.askedAt = now;
+    sendCheck(key, now, out);
+    log(out, "call_held", { { "id", call.request.requestId }, { "link", std::to_string(key.link) } });
+    return true;
+}
+
+/// Sends the calls that waited for a confirmation, unless it has taken too long itself.
+void node::state::releaseHeld(const serving_key& key, time_point now, actions& out)
+{
+    const auto found = heldCalls.find(key);
+    if (found == heldCalls.end())
+        return;
+    auto& currentAt = links[key.link].currentAt;
+    currentAt = std::max(currentAt, found->second.askedAt);
+    if (now - currentAt > options.maxUncheckedAge) {
+        found->second.askedAt = now;
+        sendCheck(key, now, out);
+        return;
+    }
+    const auto released = std::move(found->second.calls);
+    heldCalls.erase(found);
+    for (const auto id : released) {
+        if (const auto call = calls.find(id); call != calls.end())
+            startCall(call->second, now, out);
+    }
+}
+
+/// Answers the calls that waited for a caller that has left.
+void node::state::refuseHeld(const serving_key& key, time_point now, actions& out)
+{
+    const auto found = heldCalls.find(key);
+    if (found == heldCalls.end())
+        return;
+    const auto refused = std::move(found->second.calls);
+    heldCalls.erase(found);
+    for (const auto id : refused) {
+        if (const auto call = calls.find(id); call != calls.end())
+            answerWithRefusal(call->second, refusal_reason::callerGone, duration(0), now, out);
+    }
+}
+
 /// Ends the wait for a confirmation. Returns nothing if there was none. result: for the log.
 std::optional<unconfirmed_call> node::state::endAsking(
     const serving_key& key, std::string_view result, time_point now, actions& out)
@@ -40,10 +101,15 @@
     const frame_age& age, std::uint32_t timestamp, time_point now, actions& out)
 {
     const serving_key key { received.link, confirmation.id };
+    if (const auto held = heldCalls.find(key); held != heldCalls.end())
+        links[received.link].transit.receiveReply(timestamp, held->second.askedAt, now);
+    releaseHeld(key, now, out);
     const auto asked = unconfirmedCalls.find(key);
     if (asked == unconfirmedCalls.end())
         return;
-    links[received.link].transit.receiveReply(timestamp, asked->second.askedAt, now);
+    auto& link = links[received.link];
+    link.transit.receiveReply(timestamp, asked->second.askedAt, now);
+    link.currentAt = std::max(link.currentAt, asked->second.askedAt);
     if (now - asked->second.askedAt > options.maxUncheckedAge) {
         refuseUnconfirmed(now, out);
         return;
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -124,11 +124,18 @@
     }
     urgentStatusDue = urgentStatusDue || rates.reportDue();
     deadlines.emplace(kept.deadline, id);
-    kept.service = chooseService(*kept.matchedRoute);
-    retries.addRequest(kept.service, fleetArrivals(kept.service), now);
-    if (kept.position.retried)
-        retries.charge(kept.service, now);
-    send(kept, now, out);
+    if (!holdForParent(kept, now, out))
+        startCall(kept, now, out);
+}
+
+/// Sends an accepted request for the first time.
+void node::state::startCall(ingress_call& call, time_point now, actions& out)
+{
+    call.service = chooseService(*call.matchedRoute);
+    retries.addRequest(call.service, fleetArrivals(call.service), now);
+    if (call.position.retried)
+        retries.charge(call.service, now);
+    send(call, now, out);
 }
 
 /// Determines the call tree of a request and from it its importance. A call without a key comes from a local backend
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -44,6 +44,7 @@
     if (found == receivedCalls.end()) {
         if (!endAsking(key, "cancelled", now, out))
             cancelServing(key, "caller", now, out);
+        refuseHeld(key, now, out);
         return;
     }
     log(out, "call_cancelled", { { "id", found->content.request_id }, { "reason", "with-its-call" } });
--- a/src/libmesh/mesh_abandoned_work_test.cpp
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t callerLink = 5;
+constexpr std::uint64_t noCall = 99;
 
 /// A node whose backend server executes calls to "stock", which make calls to "checks" at the peers.
 struct serving_fixture : node_with_peers {
@@ -60,6 +61,17 @@
         handle(frame_received { callerLink, {}, encodeFrame(frame) });
     }
 
+    /// Handles the caller's confirmation that it still waits.
+    void confirm(std::uint64_t id)
+    {
+        wire::frame_data frame;
+        frame.confirmation = std::make_unique<wire::call_confirmation_data>();
+        frame.confirmation->id = id;
+        frame.confirmation->remaining_us = duration(1s).count();
+        frame.sent_ms = 1 + static_cast<std::uint32_t>(now.time_since_epoch() / 1ms);
+        handle(frame_received { callerLink, {}, encodeFrame(frame) });
+    }
+
     /// Makes a call of the backend server and returns its number.
     std::uint64_t makeNestedCall(const std::string& requestId)
     {
@@ -179,6 +191,63 @@
     EXPECT_EQ(fixture.take<cancel_on_backend>().size(), 1U);
 }
 
+// The cancel of an execution waited in a full link, and its backend server made further calls meanwhile.
+TEST(abandoned_work, callOfAnExecutionWithASilentLinkWaitsForTheCaller)
+{
+    serving_fixture fixture;
+    fixture.confirm(noCall);
+    fixture.serve(1, "q1");
+    fixture.serve(2, "q2");
+    fixture.advance(400ms);
+    fixture.refreshPeers();
+    fixture.take<reply_frame>();
+    const auto wanted = fixture.makeNestedCall("q1.1");
+    const auto unwanted = fixture.makeNestedCall("q2.1");
+    EXPECT_TRUE(fixture.callFrames().empty());
+    EXPECT_EQ(fixture.take<reply_frame>().size(), 2U) << "one question for each execution";
+    fixture.now += 20ms;
+    fixture.confirm(1);
+    const auto sent = fixture.callFrames();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().request_id, "q1.1");
+    fixture.cancel(2);
+    EXPECT_EQ(fixture.statusOf(unwanted), 503);
+    fixture.answer(sent.front().id, okAnswer());
+    EXPECT_EQ(fixture.statusOf(wanted), 200);
+}
+
+// The confirmation was under way for so long that the caller may have left since.
+TEST(abandoned_work, callIsNotSentAfterALateConfirmation)
+{
+    serving_fixture fixture;
+    fixture.confirm(noCall);
+    fixture.serve(1, "q1");
+    fixture.advance(400ms);
+    fixture.refreshPeers();
+    fixture.makeNestedCall("q1.1");
+    fixture.advance(350ms);
+    fixture.take<reply_frame>();
+    fixture.confirm(1);
+    EXPECT_TRUE(fixture.callFrames().empty());
+    EXPECT_EQ(fixture.take<reply_frame>().size(), 1U) << "the caller is asked again";
+    fixture.now += 20ms;
+    fixture.confirm(1);
+    EXPECT_EQ(fixture.callFrames().size(), 1U);
+}
+
+TEST(abandoned_work, callThatWaitsForTheCallerEndsWithItsDeadline)
+{
+    serving_fixture fixture;
+    fixture.confirm(noCall);
+    fixture.serve(1, "q1");
+    fixture.advance(400ms);
+    const auto nested = fixture.makeNestedCall("q1.1");
+    fixture.advance(1s);
+    EXPECT_EQ(fixture.statusOf(nested), 504);
+    fixture.confirm(1);
+    EXPECT_TRUE(fixture.callFrames().empty());
+}
+
 // A call and its cancel that waited in a full link between regions arrived together, a second after the client had
 // left, and the call was still sent to the backend server.
 TEST(abandoned_work, callThatArrivesTogetherWithItsCancelIsNotExecuted)
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -330,6 +330,11 @@
         keys.push_back(each->first);
     for (const auto& key : keys)
         cancelServing(key, "link-closed", now, out);
+    keys.clear();
+    for (auto each = heldCalls.lower_bound({ link, 0 }); each != heldCalls.end() && each->first.link == link; ++each)
+        keys.push_back(each->first);
+    for (const auto& key : keys)
+        refuseHeld(key, now, out);
 }
 
 /// Refuses all queued calls; running calls continue.
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -31,6 +31,8 @@
 /// A link between nodes, opened by either of them.
 struct link_state {
     link_transit transit;
+    bool answersChecks = false; ///< the peer is of a version that does
+    time_point currentAt = time_point::min(); ///< what the peer sent until then has been received
     time_point delayedSince = time_point::max(); ///< max: not delayed
     duration peakDelay { 0 }; ///< since then
 };
@@ -100,6 +102,13 @@
     bool mayBeStale = false; ///< may have been under way for too long to be executed without asking its caller
 };
 
+/// Calls of an execution whose caller may have left unnoticed. They are not sent before it confirms that it still
+/// waits.
+struct held_calls {
+    std::vector<std::uint64_t> calls; ///< some may have ended
+    time_point askedAt {};
+};
+
 /// A call whose caller was asked whether it still waits for it.
 struct unconfirmed_call {
     received_call received;
@@ -159,6 +168,7 @@
     std::uint64_t nextAttempt = 1;
 
     void accept(client_request request, time_point now, actions& out);
+    void startCall(ingress_call& call, time_point now, actions& out);
     void cancelClientCall(std::uint64_t call, time_point now, actions& out);
     void send(ingress_call& call, time_point now, actions& out);
     void expireCalls(time_point now, actions& out);
@@ -194,6 +204,7 @@
     std::vector<received_call> receivedCalls; ///< of the frames that are being read
     std::map<serving_key, unconfirmed_call> unconfirmedCalls;
     std::set<std::pair<time_point, serving_key>> confirmationTimeouts; ///< of unconfirmedCalls
+    std::map<serving_key, held_calls> heldCalls; ///< by the call that their execution serves
     std::unordered_map<std::uint64_t, serving_call> serving;
     std::map<serving_key, std::uint64_t> servingByKey;
     std::set<std::pair<time_point, std::uint64_t>> servingDeadlines; ///< of the calls in serving
@@ -218,6 +229,10 @@
     void callConfirmed(const frame_received& received, const wire::call_confirmation_data& confirmation,
         const frame_age& age, std::uint32_t timestamp, time_point now, actions& out);
     void refuseUnconfirmed(time_point now, actions& out);
+    void sendCheck(const serving_key& key, time_point now, actions& out) const;
+    bool holdForParent(const ingress_call& call, time_point now, actions& out);
+    void releaseHeld(const serving_key& key, time_point now, actions& out);
+    void refuseHeld(const serving_key& key, time_point now, actions& out);
     void answerCheck(const frame_received& received, std::uint64_t attempt, time_point now, actions& out);
     void offer(std::uint64_t servingId, time_point now, actions& out);
     void cancelServing(const serving_key& key, std::string_view reason, time_point now, actions& out);
--- a/src/libmesh/transit.cpp
+++ b/src/libmesh/transit.cpp
@@ -33,6 +33,9 @@
     auto& link = links[received.link];
     const auto age = link.transit.receive(timestamp, now);
     const auto delay = age.delay;
+    link.answersChecks = link.answersChecks || age.known;
+    if (!age.known || age.most)
+        link.currentAt = std::max(link.currentAt, now - age.most.value_or(duration(0)));
     const auto bucket = std::lower_bound(frameDelayBounds.begin(), frameDelayBounds.end(), delay);
     ++counts.framesByDelay.at(static_cast<std::size_t>(bucket - frameDelayBounds.begin()));
     const auto* peer = peerByAddress(received.peer);
