Bound the times in a confirmation and in a call's queue as those of calls are

Cause: found by reading. The remaining time that a caller confirms, and the time that a call may be queued, were subtracted as they came; a faulty node could make them overflow. Change: both are bounded like the remaining time of a call, by one function.

--- a/src/libmesh/confirmation.cpp
+++ b/src/libmesh/confirmation.cpp
@@ -116,9 +116,10 @@
     }
     auto confirmed = endAsking(key, "confirmed", now, out);
     auto& call = confirmed->received;
-    const auto passed = call.content.remaining_us - confirmation.remaining_us;
-    call.content.queue_us -= passed;
-    call.content.remaining_us = confirmation.remaining_us;
+    const auto remaining = boundedTime(confirmation.remaining_us);
+    const auto passed = boundedTime(call.content.remaining_us) - remaining;
+    call.content.queue_us = (boundedTime(call.content.queue_us) - passed).count();
+    call.content.remaining_us = remaining.count();
     call.delay = std::min(age.delay, now - confirmed->askedAt);
     call.mayBeStale = false;
     // Its cancel may have been received together with the confirmation.
--- a/src/libmesh/mesh_late_call_test.cpp
+++ b/src/libmesh/mesh_late_call_test.cpp
@@ -146,6 +146,19 @@
     EXPECT_GE(started.front().remaining, 1200ms);
 }
 
+TEST(late_call, absurdTimesOfItsCallerAreBounded)
+{
+    late_call node;
+    node.learnLink();
+    for (const auto remaining : { duration::min(), duration::max() }) {
+        node.receiveCall(2, 600ms);
+        node.now += 60ms;
+        node.confirm(2, remaining, 30ms);
+        for (const auto& each : node.take<run_on_backend>())
+            EXPECT_LE(each.remaining, duration(1h));
+    }
+}
+
 // The way of the confirmation is full too.
 TEST(late_call, isRefusedWhenItsConfirmationIsLate)
 {
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -14,8 +14,6 @@
     constexpr double failureBelow = 0.5;
     // Slots assumed until the first heartbeat if no other node has reported any for this service.
     constexpr unsigned defaultSlots = 48;
-    // Longer times come from a faulty sender.
-    constexpr duration maxRemaining = std::chrono::hours(1);
     // A call is silent after this multiple of the mean latency.
     constexpr double silentLatencies = 6;
     constexpr duration minSilence = std::chrono::milliseconds(250);
@@ -84,7 +82,7 @@
         log(out, "call_ignored", { { "id", call.request_id }, { "reason", "duplicate" } });
         return;
     }
-    const auto remaining = std::clamp(duration(call.remaining_us), duration(0), maxRemaining) - received.delay;
+    const auto remaining = boundedTime(call.remaining_us) - received.delay;
     const auto reason = reasonToRefuse(call, remaining, now);
     if (reason.empty() && received.mayBeStale) {
         askCaller(std::move(received), now, out);
@@ -116,9 +114,8 @@
     kept.content = std::move(received.content);
     kept.content.remaining_us = remaining.count();
     // After its target latency, a call may wait until its deadline.
-    kept.content.queue_us -= received.delay.count();
-    if (kept.content.queue_us <= 0)
-        kept.content.queue_us = kept.content.remaining_us;
+    const auto queueTime = boundedTime(kept.content.queue_us) - received.delay;
+    kept.content.queue_us = (queueTime > duration(0) ? queueTime : remaining).count();
     servingDeadlines.emplace(kept.deadline, servingId);
     servingByKey[{ kept.link, kept.id }] = servingId;
     serving.emplace(servingId, std::move(kept));
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -8,6 +8,7 @@
 #include "rate_estimator.h"
 #include "rate_limiter.h"
 #include "retry_budget.h"
+#include <algorithm>
 
 namespace limpet::mesh {
 
@@ -355,6 +356,12 @@
     out.emplace_back(log_event { std::move(name), std::move(fields) });
 }
 
+/// Returns a time that another node has sent. Longer ones than an hour, and negative ones, come from a faulty sender.
+inline duration boundedTime(std::int64_t microseconds)
+{
+    return std::clamp(duration(microseconds), duration(0), duration(std::chrono::hours(1)));
+}
+
 /// Responses with this status or a higher one are failures of a backend server.
 constexpr int firstServerError = 500;
 
