--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -18,6 +18,17 @@
     constexpr double silentLatencies = 6;
     constexpr duration minSilence = std::chrono::milliseconds(250);
 
+    /// Returns the keys of the calls that arrived over the link.
+    template <typename Call>
+    std::vector<serving_key> keysOfLink(const std::map<serving_key, Call>& callsByKey, std::uint64_t link)
+    {
+        std::vector<serving_key> keys;
+        for (auto each = callsByKey.lower_bound({ link, 0 }); each != callsByKey.end() && each->first.link == link;
+             ++each)
+            keys.push_back(each->first);
+        return keys;
+    }
+
     request_id admissionId(std::uint64_t serving) { return { 0, serving }; }
 
     admission_request makeAdmissionRequest(std::uint64_t servingId, const serving_call& call, duration remaining)
@@ -316,21 +327,11 @@
 
 void node::state::cancelLinkServing(std::uint64_t link, time_point now, actions& out)
 {
-    std::vector<serving_key> keys;
-    for (auto each = unconfirmedCalls.lower_bound({ link, 0 });
-         each != unconfirmedCalls.end() && each->first.link == link; ++each)
-        keys.push_back(each->first);
-    for (const auto& key : std::exchange(keys, {}))
+    for (const auto& key : keysOfLink(unconfirmedCalls, link))
         endAsking(key, "link-closed", now, out);
-    for (auto each = servingByKey.lower_bound({ link, 0 }); each != servingByKey.end() && each->first.link == link;
-         ++each)
-        keys.push_back(each->first);
-    for (const auto& key : keys)
+    for (const auto& key : keysOfLink(servingByKey, link))
         cancelServing(key, "link-closed", now, out);
-    keys.clear();
-    for (auto each = heldCalls.lower_bound({ link, 0 }); each != heldCalls.end() && each->first.link == link; ++each)
-        keys.push_back(each->first);
-    for (const auto& key : keys)
+    for (const auto& key : keysOfLink(heldCalls, link))
         refuseHeld(key, now, out);
 }
 
