Send no call of a cancelled execution to further nodes

What callers saw: work that began after its client had left. Cause: when the caller of an execution cancels it, its calls in flight go on until the backend server closes their connections. Until then, a call that was refused, rejected or lost at one node was sent to the next, and a silent or failed one was repeated, although the node knew that nobody waited for it.

Change: an attempt is only repeated or hedged while the execution that makes the call has not been cancelled. The call gets the failure that it has, or a refusal with the reason that its caller is gone.

--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -46,6 +46,12 @@
     return options.treeAware && !call.rejectedBy.empty() && call.sends < maxSends;
 }
 
+/// Whether somebody waits for the call: the execution that makes it has not been cancelled meanwhile.
+bool node::state::isWaitedFor(const ingress_call& call) const
+{
+    return !call.parent || !tree.isAbandoned(call.request.requestId);
+}
+
 /// Ends the attempt. Returns nothing if its request no longer waits for it.
 std::optional<ended_attempt> node::state::endAttempt(std::uint64_t attempt)
 {
@@ -107,7 +113,7 @@
     const auto left = call.queueUntil - now;
     const bool inTime
         = left.count() > minRetryTimeFraction * static_cast<double>((call.queueUntil - call.arrived).count());
-    if (failed && ownFailure && call.matchedRoute->idempotent && mayReachAnother(call) && inTime
+    if (failed && ownFailure && call.matchedRoute->idempotent && mayReachAnother(call) && inTime && isWaitedFor(call)
         && retries.tryConsume(call.service, retryValue(call), now)) {
         log(out, "repeat",
             { { "id", call.request.requestId }, { "at", call.targetNode }, { "status", std::to_string(answer.status) },
@@ -140,7 +146,8 @@
     call.retryAfter = retryAfter;
     const bool certainlyNotExecuted = kind == failure_kind::notExecuted || kind == failure_kind::rejected;
     const bool mayRetry = certainlyNotExecuted || call.matchedRoute->idempotent;
-    bool allowed = now < call.deadline && mayRetry;
+    const bool waitedFor = isWaitedFor(call);
+    bool allowed = now < call.deadline && mayRetry && waitedFor;
     const bool othersInFlight = !call.attempts.empty();
     if (arrived)
         allowed = allowed && !othersInFlight && (mayReachAnother(call) || mayResend(call))
@@ -169,7 +176,8 @@
         return;
     }
     if (certainlyNotExecuted) {
-        answerWithRefusal(call, refusal_reason::overloaded, std::max(retryAfter, defaultRetryAfter), now, out);
+        const auto reason = waitedFor ? refusal_reason::overloaded : refusal_reason::callerGone;
+        answerWithRefusal(call, reason, std::max(retryAfter, defaultRetryAfter), now, out);
         return;
     }
     const bool timedOut = kind == failure_kind::timeout;
@@ -227,8 +235,8 @@
 /// factor.
 void node::state::hedge(ingress_call& call, double value, std::string_view reason, time_point now, actions& out)
 {
-    const bool allowed
-        = call.attempts.size() == 1 && call.matchedRoute->idempotent && mayReachAnother(call) && now < call.queueUntil;
+    const bool allowed = call.attempts.size() == 1 && call.matchedRoute->idempotent && mayReachAnother(call)
+        && now < call.queueUntil && isWaitedFor(call);
     if (!allowed || !selectEndpoint(call, now) || !retries.tryConsume(call.service, value * retryValue(call), now))
         return;
     const auto& waiting = call.attempts.front();
--- a/src/libmesh/call_tree.cpp
+++ b/src/libmesh/call_tree.cpp
@@ -90,6 +90,12 @@
     return std::nullopt;
 }
 
+bool call_tree::isAbandoned(const std::string& requestId) const
+{
+    const auto named = findByRequestId(requestId);
+    return named && named->abandoned;
+}
+
 call_tree::parent_match call_tree::findParent(const std::string& requestId, time_point deadline) const
 {
     if (const auto named = findByRequestId(requestId))
--- a/src/libmesh/call_tree.h
+++ b/src/libmesh/call_tree.h
@@ -39,6 +39,8 @@
     /// still make nested calls for it until its deadline.
     void executionAbandoned(std::uint64_t execution, time_point now);
     parent_match findParent(const std::string& requestId, time_point deadline) const;
+    /// Whether the request is a nested call of an abandoned execution that is not being repeated.
+    bool isAbandoned(const std::string& requestId) const;
     /// Records that a nested call to the route has finished.
     void callFinished(std::uint64_t execution, const std::string& route, bool failed);
     /// Whether a nested call of the execution has failed, so that its own failure has its cause below.
--- a/src/libmesh/mesh_abandoned_work_test.cpp
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -125,6 +125,48 @@
     EXPECT_EQ(fixture.statusOf(nested), 503);
 }
 
+// A call in progress was sent to further nodes after its execution was cancelled, until the backend server noticed.
+TEST(abandoned_work, callInProgressOfACancelledExecutionIsNotSentAgain)
+{
+    for (const auto kind : { failure_kind::notExecuted, failure_kind::rejected, failure_kind::lost }) {
+        serving_fixture fixture;
+        fixture.serve(1, "q1");
+        const auto abandoned = fixture.makeNestedCall("q1.1");
+        const auto sent = fixture.callFrames();
+        ASSERT_EQ(sent.size(), 1U);
+        fixture.cancel(1);
+        fixture.serve(2, "q2");
+        fixture.fail(sent.front().id, kind);
+        EXPECT_TRUE(fixture.callFrames().empty());
+        EXPECT_EQ(fixture.statusOf(abandoned), kind == failure_kind::lost ? 502 : 503);
+
+        const auto wanted = fixture.makeNestedCall("q2.1");
+        const auto first = fixture.callFrames();
+        ASSERT_EQ(first.size(), 1U);
+        fixture.fail(first.front().id, kind);
+        EXPECT_EQ(fixture.callFrames().size(), 1U);
+        EXPECT_EQ(fixture.statusOf(wanted), 0);
+    }
+}
+
+TEST(abandoned_work, callInProgressOfACancelledExecutionIsNotRepeatedAfterAFailure)
+{
+    for (const bool cancelled : { false, true }) {
+        serving_fixture fixture;
+        fixture.serve(1, "q1");
+        const auto nested = fixture.makeNestedCall("q1.1");
+        const auto sent = fixture.callFrames();
+        ASSERT_EQ(sent.size(), 1U);
+        if (cancelled)
+            fixture.cancel(1);
+        http_answer failed;
+        failed.status = 500;
+        fixture.answer(sent.front().id, failed);
+        EXPECT_EQ(fixture.callFrames().size(), cancelled ? 0U : 1U);
+        EXPECT_EQ(fixture.statusOf(nested), cancelled ? 500 : 0);
+    }
+}
+
 TEST(abandoned_work, furtherCallsOfAnExecutionWhoseLinkEndedAreNotExecuted)
 {
     serving_fixture fixture;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -183,6 +183,7 @@
     double retryValue(const ingress_call& call) const;
     bool mayReachAnother(const ingress_call& call) const;
     bool mayResend(const ingress_call& call) const;
+    bool isWaitedFor(const ingress_call& call) const;
     double fleetArrivals(const std::string& service) const;
     void updateServiceLoads(time_point now);
     void placeInTree(ingress_call& call, const team* owner, time_point now) const;
