List the nodes at the start before the own entry is written

Cause: before a node asks its zone for the configuration, it got a lease, wrote its entry and listed the nodes, three exchanges one after the other, and then waited 0.2 s for their statuses.

Change: the nodes are listed at once with a read that may be old, which costs a tenth and is not rate-limited, at the same time as the lease is granted. If it names nodes of the own zone, their statuses are awaited from then on, for 0.1 s. Otherwise, the list after the entry counts, as before; it stays current, so that it holds every node registered before. Only that one sets the number of nodes over which rates are shared. The time of the first tick was kept for a flag only; it is a flag now.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -110,6 +110,7 @@
         std::optional<store_revision> watchFrom; ///< revision from which to watch the configuration
         bool unwatch = false; ///< ends the watch of the configuration
         std::optional<std::vector<std::string>> entries; ///< values of all node entries
+        bool entriesArePreliminary = false; ///< read before the own entry was written: may be old
         std::vector<log_event> log;
     };
 
@@ -146,7 +147,8 @@
     std::uint64_t m_nextToken = 1;
     store_lease m_lease = 0;
     bool m_written = false; ///< the entry is written under the current lease
-    bool m_listed = false; ///< the nodes were listed since the entry was written
+    bool m_currentListDue = true; ///< the nodes were not listed since the entry was written
+    bool m_listIsCurrent = false; ///< the list in flight must not be old
     bool m_storeReachable = true; ///< the store replied to the last call
     bool m_readsConfiguration = false;
     time_point m_readingWantedAt = time_point::min(); ///< last time; min: never
@@ -292,6 +294,7 @@
 };
 struct nodes_listed {
     std::vector<listed_node> nodes;
+    bool preliminary = false; ///< may be old, so that nodes may be missing
 };
 /// The store replied to the last call, or did not.
 struct store_reachability {
--- a/src/libmesh/configuration_source.cpp
+++ b/src/libmesh/configuration_source.cpp
@@ -18,7 +18,7 @@
     constexpr duration maxPullTime = std::chrono::milliseconds(1500);
     constexpr duration readStagger = std::chrono::milliseconds(40);
     // A node that has started hears from its zone in this time after it knows the addresses there.
-    constexpr duration introductionTime = std::chrono::milliseconds(200);
+    constexpr duration introductionTime = std::chrono::milliseconds(100);
     // A node that cannot list the other nodes after its start goes on without.
     constexpr duration maxListTime = std::chrono::milliseconds(1500);
 
@@ -86,7 +86,6 @@
 /// Starts the time in which this node gets to know the nodes of its zone.
 void node::state::startIntroduction(time_point now)
 {
-    startedAt = now;
     if (newestVersion == 0)
         outdatedSince = now;
     introductionEndsAt = std::min(introductionEndsAt, now + maxListTime);
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -176,8 +176,13 @@
 {
     const bool includesSelf = std::any_of(listed.nodes.begin(), listed.nodes.end(),
         [&](const listed_node& each) { return each.address == options.address; });
-    rates.setListedNodes(listed.nodes.size() + (includesSelf ? 0 : 1));
-    shortenIntroduction(now);
+    const bool namesOwnZone = std::any_of(listed.nodes.begin(), listed.nodes.end(), [&](const listed_node& each) {
+        return each.availabilityZone == options.availabilityZone && each.address != options.address;
+    });
+    if (!listed.preliminary)
+        rates.setListedNodes(listed.nodes.size() + (includesSelf ? 0 : 1));
+    if (!listed.preliminary || namesOwnZone)
+        shortenIntroduction(now);
     for (const auto& each : listed.nodes) {
         if (each.address == options.address || unknownNodes.contains(each.address))
             continue;
--- a/src/libmesh/mesh_configuration_source_test.cpp
+++ b/src/libmesh/mesh_configuration_source_test.cpp
@@ -82,6 +82,40 @@
     EXPECT_EQ(node.pulls(), 1U);
 }
 
+/// A node that has just started and knows nobody.
+struct started_node : node_fixture {
+    started_node() { advance(1ms); }
+
+    /// Lists a node of that zone, as found before the own entry was written.
+    void listEarly(const std::string& zone)
+    {
+        nodes_listed listed;
+        listed.nodes.push_back({ { "10.0.0.2", 7000 }, zone });
+        listed.preliminary = true;
+        handle(listed);
+    }
+
+    bool readsConfigurationSoon() const { return subject.readsConfiguration(now + 150ms); }
+};
+
+TEST(configuration_source, isTheStoreSoonAfterNodesOfTheZoneWereListed)
+{
+    started_node node;
+    node.listEarly("north-a");
+    EXPECT_FALSE(node.subject.readsConfiguration(node.now));
+    EXPECT_TRUE(node.readsConfigurationSoon());
+}
+
+// An early list may lack all nodes of the zone.
+TEST(configuration_source, isNotTheStoreSoonAfterAnEarlyListWithoutTheZone)
+{
+    started_node node;
+    node.listEarly("north-b");
+    EXPECT_FALSE(node.readsConfigurationSoon());
+    node.handle(nodes_listed {});
+    EXPECT_TRUE(node.readsConfigurationSoon());
+}
+
 // The link to the node that has the configuration may be silent.
 TEST(configuration_source, isTheStoreWhenNoNodeSendsTheConfiguration)
 {
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -133,6 +133,57 @@
     EXPECT_EQ(fixture.store.count<store_txn>(), 1U);
 }
 
+/// Returns the calls that list the nodes.
+std::vector<store_get> listsIn(const std::vector<store_operation>& operations)
+{
+    std::vector<store_get> lists;
+    for (const auto& each : operations) {
+        if (const auto* get = std::get_if<store_get>(&each); get && get->prefix)
+            lists.push_back(*get);
+    }
+    return lists;
+}
+
+// After a power loss of all nodes, each waited for two exchanges with the store before it knew whom to ask.
+TEST(registry, listsTheNodesAtOnceAndAgainWhenItsEntryIsWritten)
+{
+    registry_fixture fixture;
+    fixture.runFor(150ms);
+    const auto lists = listsIn(fixture.store.seen);
+    ASSERT_EQ(lists.size(), 2U);
+    EXPECT_TRUE(lists.front().stale);
+    EXPECT_FALSE(lists.back().stale) << "holds every node registered before";
+    fixture.runFor(20s);
+    for (const auto& each : listsIn(std::vector(fixture.store.seen.begin() + 5, fixture.store.seen.end())))
+        EXPECT_TRUE(each.stale);
+}
+
+// The list that was requested before may lack nodes.
+TEST(registry, listsTheNodesAgainWhenItsEntryIsWrittenBeforeTheFirstListArrives)
+{
+    registry_fixture fixture;
+    mesh::registry::outcome out;
+    fixture.subject.tick(fixture.now, out);
+    const auto calls = std::exchange(out.calls, {});
+    const auto isList = [](const store_call& call) { return !listsIn(std::vector { call.operation }).empty(); };
+    const auto early = std::find_if(calls.begin(), calls.end(), isList);
+    ASSERT_NE(early, calls.end());
+    for (const auto& call : calls) {
+        if (!isList(call))
+            fixture.subject.handle({ call.token, fixture.store.answer(call.operation) }, fixture.now, out);
+    }
+    fixture.applyActions(std::move(out));
+    fixture.runFor(1ms);
+    EXPECT_EQ(fixture.store.count<store_txn>(), 1U);
+    mesh::registry::outcome first;
+    fixture.subject.handle({ early->token, fixture.store.answer(early->operation) }, fixture.now, first);
+    EXPECT_TRUE(first.entriesArePreliminary);
+    mesh::registry::outcome second;
+    fixture.subject.tick(fixture.now, second);
+    ASSERT_EQ(second.calls.size(), 1U);
+    EXPECT_FALSE(std::get<store_get>(second.calls.front().operation).stale);
+}
+
 TEST(registry, readsTheConfigurationAgainAfterItsWatchEnded)
 {
     registry_fixture fixture;
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -104,7 +104,7 @@
 
 void node::state::tick(time_point now, actions& out)
 {
-    if (startedAt == time_point::max())
+    if (!std::exchange(started, true))
         startIntroduction(now);
     expireCalls(now, out);
     hedgeSilentAttempts(now, out);
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -17,7 +17,6 @@
     taskFor(task_kind::configuration).at = never;
     taskFor(task_kind::entry).at = never;
     taskFor(task_kind::keepAlive).at = never;
-    taskFor(task_kind::list).at = never;
 }
 
 void registry::start(task_kind which, store_operation operation, outcome& out)
@@ -48,10 +47,12 @@
     }
     if (due(task_kind::keepAlive))
         start(task_kind::keepAlive, store_lease_keep_alive { m_lease }, out);
-    // The first list must be current, so that it holds every node registered before. Later ones may be stale, since
-    // they only compensate for lost datagrams.
-    if (due(task_kind::list))
-        start(task_kind::list, store_get { m_options.entryPrefix, true, m_listed }, out);
+    // A list that may be stale tells a node that starts whom it can ask. The one after the entry was written must be
+    // current, so that it holds every node registered before. Later ones only compensate for lost datagrams.
+    if (due(task_kind::list)) {
+        m_listIsCurrent = m_currentListDue && m_written;
+        start(task_kind::list, store_get { m_options.entryPrefix, true, !m_listIsCurrent }, out);
+    }
 }
 
 bool registry::callInFlight() const
@@ -112,7 +113,7 @@
         m_written = true;
         taskFor(task_kind::keepAlive).at = now + m_options.keepAliveInterval;
         taskFor(task_kind::list).at = now;
-        m_listed = false;
+        m_currentListDue = true;
         out.log.push_back({ "entry_written", { { "lease", std::to_string(m_lease) } } });
         break;
     case task_kind::keepAlive:
@@ -132,8 +133,9 @@
             out.log.push_back({ "entries_ignored",
                 { { "count", std::to_string(got.ignored.size()) }, { "reason", got.ignored.front() } } });
         out.entries = std::move(values);
-        m_listed = true;
-        taskFor(task_kind::list).at = now + m_options.listInterval;
+        m_currentListDue = m_currentListDue && !m_listIsCurrent;
+        out.entriesArePreliminary = m_currentListDue;
+        taskFor(task_kind::list).at = m_currentListDue && m_written ? now : now + m_options.listInterval;
         break;
     }
     }
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -323,7 +323,7 @@
 
     // ---- Distribution of the configuration (configuration_source.cpp) ----
     std::uint64_t newestVersion = 0; ///< newest configuration version that any node has reported
-    time_point startedAt = time_point::max(); ///< time of the first tick
+    bool started = false; ///< has had its first tick
     bool introduced = false; ///< knows the nodes of its zone, after its start
     time_point introductionEndsAt = time_point::max();
     time_point outdatedSince {}; ///< when this node last knew of a newer version without progress
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -73,7 +73,7 @@
     void execute(mesh::registry::outcome& outcome);
     void chooseConfigurationSource();
     void startWatch(store_revision from);
-    void reportListedNodes(const std::vector<std::string>& entries);
+    void reportListedNodes(const std::vector<std::string>& entries, bool preliminary);
     bool idle() const;
     void quitWhenStopped();
     void applyLimits();
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -51,7 +51,7 @@
     if (outcome.document)
         applyConfiguration(*outcome.document, "store");
     if (outcome.entries)
-        reportListedNodes(*outcome.entries);
+        reportListedNodes(*outcome.entries, outcome.entriesArePreliminary);
     if (outcome.watchFrom)
         startWatch(*outcome.watchFrom);
     if (outcome.unwatch && watch) {
@@ -94,9 +94,10 @@
     });
 }
 
-void mesh_daemon::state::reportListedNodes(const std::vector<std::string>& entries)
+void mesh_daemon::state::reportListedNodes(const std::vector<std::string>& entries, bool preliminary)
 {
     mesh::nodes_listed listed;
+    listed.preliminary = preliminary;
     for (const auto& each : entries) {
         const auto end = each.find(entrySeparator);
         auto address = parseAddress(std::string_view(each).substr(0, end));
