Fetch a new configuration by one node of a zone at a time

What callers saw: calls and cancels that crossed the link between the regions a second late, after that link had been full once. While the link is full, all of them wait as long, so that all of them read. - A node whose store does not respond counts as not fetching. When calls of all nodes time out on the full link, each node takes itself for the first one, and probes the store by reading the whole configuration, every 0.4 s. - A read that was wanted once was repeated for 5 s after another node had taken its place.

Change: each node waits 0.9 s, about the time that one read may take, for the one before it. Nodes that reach the store come first, the others after them, so that a zone without the store has one node that fetches from another region. The store is probed by small calls only, and a read is not repeated unless it is wanted now.

Test: configuration_source.isTheStoreWhenNoNodeSendsTheConfiguration expected the third node of a zone to read after 1.6 s, which is the fault; it must not then, and must after 3.4 s (a change is to be in force within 6 s).

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -137,6 +137,7 @@
     };
     void start(task_kind which, store_operation operation, outcome& out);
     bool callInFlight() const;
+    bool mayReadConfiguration() const;
     task& taskFor(task_kind which) { return m_tasks[static_cast<std::size_t>(which)]; }
     const task& taskFor(task_kind which) const { return m_tasks[static_cast<std::size_t>(which)]; }
     void succeed(task_kind which, const store_reply& reply, time_point now, outcome& out);
@@ -150,7 +151,8 @@
     bool m_currentListDue = true; ///< the nodes were not listed since the entry was written
     bool m_listIsCurrent = false; ///< the list in flight must not be old
     bool m_storeReachable = true; ///< the store replied to the last call
-    bool m_readsConfiguration = false;
+    bool m_readingWanted = false; ///< now
+    bool m_readsConfiguration = false; ///< or watches it, also for a while after that was wanted
     time_point m_readingWantedAt = time_point::min(); ///< last time; min: never
     bool m_leftFleet = false;
 };
--- a/src/libmesh/configuration_source.cpp
+++ b/src/libmesh/configuration_source.cpp
@@ -14,9 +14,10 @@
     constexpr duration pullTimeout = std::chrono::milliseconds(800);
     constexpr duration otherRegionPullTimeout = std::chrono::seconds(4);
     // A node that does not get a new configuration from other nodes reads it from the store after this time, and after
-    // another readStagger for each node of its zone that does so before.
+    // another readStagger for each node of its zone that does so before. The link to the store may be what is slow, and
+    // each further read makes it slower: the next node waits for about as long as one read may take.
     constexpr duration maxPullTime = std::chrono::milliseconds(1500);
-    constexpr duration readStagger = std::chrono::milliseconds(40);
+    constexpr duration readStagger = std::chrono::milliseconds(900);
     // A node that has started hears from its zone in this time after it knows the addresses there.
     constexpr duration introductionTime = std::chrono::milliseconds(100);
     // A node that cannot list the other nodes after its start goes on without.
@@ -46,7 +47,7 @@
 
 /// Returns one of the nearest live nodes with a newer configuration, or nullptr. All nodes request one at about the
 /// same time: at first, only nodes of the own zone are asked, then those of the region, and those of another region
-/// only by the nodes that read the store.
+/// only by the nodes that fetch it for their zone.
 const endpoint* node::state::configurationSource(time_point now)
 {
     const auto held = heldVersion();
@@ -57,7 +58,7 @@
     };
     auto maxDistance = peer_distance::ownZone;
     if (now - outdatedSince >= pullInterval)
-        maxDistance = readsConfiguration(now) ? peer_distance::otherRegion : peer_distance::ownRegion;
+        maxDistance = fetchesForZone(now) ? peer_distance::otherRegion : peer_distance::ownRegion;
     std::vector<const endpoint*> nearest;
     for (const auto& [name, peer] : peers) {
         if (peer.configurationVersion <= held || !isLive(peer, now) || distance(peer) > maxDistance)
@@ -73,13 +74,17 @@
     return nearest[std::min(drawn, nearest.size() - 1)];
 }
 
-/// Returns the number of live nodes of this zone that read the configuration from the store before this one.
+/// Returns the number of live nodes of this zone that fetch the configuration before this one: those that reach the
+/// store come first.
 std::size_t node::state::earlierNodes(time_point now) const
 {
+    const auto isEarlier = [&](const endpoint& peer) {
+        return std::pair(peer.storeLost, peer.node) < std::pair(!storeReachable, options.name);
+    };
     return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& each) {
         const auto& peer = each.second;
-        return peer.availabilityZone == options.availabilityZone && peer.node < options.name && !peer.leaving
-            && !peer.storeLost && now - peer.lastSeen <= scaleInterval(relayTimeout);
+        return peer.availabilityZone == options.availabilityZone && isEarlier(peer) && !peer.leaving
+            && now - peer.lastSeen <= scaleInterval(relayTimeout);
     }));
 }
 
@@ -98,7 +103,10 @@
         introductionEndsAt = std::min(introductionEndsAt, now + introductionTime);
 }
 
-bool node::state::readsConfiguration(time_point now) const
+bool node::state::readsConfiguration(time_point now) const { return storeReachable && fetchesForZone(now); }
+
+/// Whether this node is the one of its zone that fetches a new configuration from elsewhere.
+bool node::state::fetchesForZone(time_point now) const
 {
     const auto held = heldVersion();
     if (held == 0 && !introduced && now < introductionEndsAt)
--- a/src/libmesh/mesh_configuration_source_test.cpp
+++ b/src/libmesh/mesh_configuration_source_test.cpp
@@ -116,6 +116,40 @@
     EXPECT_TRUE(node.readsConfigurationSoon());
 }
 
+// All nodes of a region lost the store for a while, and each of them fetched the configuration across the regions.
+TEST(configuration_source, isAnotherRegionForOneNodeOfAZoneThatHasLostTheStore)
+{
+    later_node node;
+    node.handle(store_reachability { false });
+    node.storeLost = true;
+    node.refreshPeers();
+    node.configurationVersion = 2;
+    node.namePrefix = "other-";
+    node.region = "south";
+    node.refreshPeers();
+    node.advance(500ms);
+    EXPECT_EQ(node.pulls(), 0U);
+    EXPECT_FALSE(node.readsConfiguration());
+
+    node_with_peers first("stock");
+    first.handle(store_reachability { false });
+    first.storeLost = true;
+    first.refreshPeers();
+    first.configurationVersion = 2;
+    first.namePrefix = "other-";
+    first.region = "south";
+    first.refreshPeers();
+    first.advance(500ms);
+    EXPECT_FALSE(first.subject.readsConfiguration(first.now));
+    const auto sent = first.take<send_frame>();
+    EXPECT_EQ(std::count_if(sent.begin(), sent.end(),
+                  [](const send_frame& each) {
+                      const auto frame = parseFrame(each.bytes);
+                      return frame && frame->configuration_pull;
+                  }),
+        1);
+}
+
 // The link to the node that has the configuration may be silent.
 TEST(configuration_source, isTheStoreWhenNoNodeSendsTheConfiguration)
 {
@@ -125,6 +159,9 @@
     EXPECT_FALSE(node.readsConfiguration());
     node.now += 1600ms;
     node.refreshPeers();
+    EXPECT_FALSE(node.readsConfiguration()) << "the node before this one reads it first, over a link that may be full";
+    node.now += 1800ms;
+    node.refreshPeers();
     EXPECT_TRUE(node.readsConfiguration());
     node.configure(sampleConfiguration(2));
     EXPECT_FALSE(node.readsConfiguration());
--- a/src/libmesh/mesh_narrow_link_test.cpp
+++ b/src/libmesh/mesh_narrow_link_test.cpp
@@ -121,6 +121,30 @@
     }
 }
 
+// The link is full for longer than nodes wait for their zone: then each of them read the configuration over it too.
+TEST(narrow_link, isNotFilledFurtherByNodesThatWaitForTheConfiguration)
+{
+    narrow_link subject(1);
+    auto& network = subject.network;
+    network.schedule(1s, [&] {
+        for (auto& each : network.members()) {
+            if (each->location.region == "south")
+                network.kill(*each);
+        }
+    });
+    network.schedule(2900ms, [&] { network.fillLink("north", 4s); });
+    network.schedule(3s, [&] {
+        for (auto& each : network.members()) {
+            if (each->location.region == "south")
+                network.restart(*each);
+        }
+    });
+    network.runFor(11s);
+    for (const auto& each : network.members())
+        EXPECT_EQ(each->subject->configurationVersion(), 1U) << each->location.name;
+    EXPECT_LE(network.documentsBetweenRegions, 8U) << "two at the start, and one for each zone in each 0.9 s after";
+}
+
 // All nodes lose power at the same moment.
 TEST(narrow_link, isNotFilledWhenAllNodesStart)
 {
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -194,6 +194,33 @@
     EXPECT_EQ(configurationReads(fixture), before + 1);
 }
 
+// A read that timed out on a full link was repeated until the link was free of calls, not of configurations.
+TEST(registry, doesNotProbeTheStoreByReadingTheConfiguration)
+{
+    registry_fixture fixture;
+    fixture.runFor(3s);
+    fixture.subject.watchEnded(fixture.now);
+    fixture.store.unavailable = true;
+    fixture.runFor(500ms);
+    const auto before = configurationReads(fixture);
+    fixture.runFor(5s);
+    EXPECT_EQ(configurationReads(fixture), before);
+}
+
+// Another node has taken its place meanwhile.
+TEST(registry, doesNotRepeatAReadThatIsNoLongerWanted)
+{
+    registry_fixture fixture;
+    fixture.runFor(1s);
+    const auto before = configurationReads(fixture);
+    fixture.subject.watchEnded(fixture.now);
+    mesh::registry::outcome out;
+    fixture.subject.readConfiguration(false, fixture.now, out);
+    fixture.runFor(1s);
+    EXPECT_EQ(configurationReads(fixture), before);
+    EXPECT_GT(fixture.subject.nextTimer(), fixture.now - 50ms);
+}
+
 // The connection of the watch may have been lost unnoticed during the outage.
 TEST(registry, readsTheConfigurationAgainAfterTheStoreWasLost)
 {
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -33,7 +33,7 @@
     const auto due = [&](task_kind which) {
         return taskFor(which).token == 0 && taskFor(which).at <= now && (m_storeReachable || !callInFlight());
     };
-    if (due(task_kind::configuration))
+    if (mayReadConfiguration() && due(task_kind::configuration))
         start(task_kind::configuration, store_get { m_options.configurationKey }, out);
     if (m_leftFleet)
         return;
@@ -55,6 +55,9 @@
     }
 }
 
+/// Only small calls probe a store that does not respond: its link may be full. A node that has left makes no others.
+bool registry::mayReadConfiguration() const { return m_readingWanted && (m_storeReachable || m_leftFleet); }
+
 bool registry::callInFlight() const
 {
     return std::any_of(m_tasks.begin(), m_tasks.end(), [](const task& each) { return each.token != 0; });
@@ -166,6 +169,7 @@
 
 void registry::readConfiguration(bool wanted, time_point now, outcome& out)
 {
+    m_readingWanted = wanted;
     if (wanted)
         m_readingWantedAt = now;
     const bool reads = m_readingWantedAt != time_point::min() && now - m_readingWantedAt <= readingLinger;
@@ -196,13 +200,16 @@
 {
     // After leave(), the lease is not renewed and nodes are not listed; only the configuration may still be read.
     if (m_leftFleet)
-        return taskFor(task_kind::configuration).token == 0 ? taskFor(task_kind::configuration).at : never;
+        return mayReadConfiguration() && taskFor(task_kind::configuration).token == 0
+            ? taskFor(task_kind::configuration).at
+            : never;
     // Due tasks wait for the result of the call that probes the store.
     if (!m_storeReachable && callInFlight())
         return never;
     auto next = never;
     for (const auto& each : m_tasks) {
-        if (each.token == 0)
+        const bool waits = &each == &taskFor(task_kind::configuration) && !mayReadConfiguration();
+        if (each.token == 0 && !waits)
             next = std::min(next, each.at);
     }
     return next;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -343,6 +343,7 @@
     void startIntroduction(time_point now);
     void shortenIntroduction(time_point now);
     bool readsConfiguration(time_point now) const;
+    bool fetchesForZone(time_point now) const;
     time_point nextConfigurationTimer() const;
     void applyConfiguration(configuration_received received, time_point now, actions& out);
 
