Let the fuzzed node get checks, confirmations and cancels of its callers

Cause: frames that ask for a call, confirm or cancel it, and frames with the time of their sender, were never drawn, so that the wait for a confirmation was not fuzzed. Change: one more kind of event makes them, early and late ones included; calls may come before the last frame of a batch.

--- a/src/fuzz/fuzz_node.cpp
+++ b/src/fuzz/fuzz_node.cpp
@@ -64,7 +64,7 @@
     void step()
     {
         const auto drawn = m_input.next();
-        switch (drawn % 9) {
+        switch (drawn % 10) {
         case 0:
             m_fixture.request("/stock/1");
             break;
@@ -90,6 +90,10 @@
         case 7:
             m_fixture.handle(link_closed { drawn % 2 + 3U, { "10.0.0.2", 7000 }, m_input.next() % 2 == 0 });
             break;
+        case 8:
+            m_fixture.handle(frame_received { 3, { "10.0.0.2", 7000 }, corrupt(callerFrame(), m_input),
+                std::chrono::milliseconds(m_input.next()), m_input.next() % 4 != 0 });
+            break;
         default:
             m_fixture.advance(std::chrono::milliseconds(m_input.next() * 4));
         }
@@ -114,9 +118,11 @@
         return encodeStatus(status);
     }
 
-    std::string callFrame()
+    /// sentMs: time of the sender in its frame; 0: unknown.
+    std::string callFrame(std::uint32_t sentMs = 0)
     {
         wire::frame_data frame;
+        frame.sent_ms = sentMs;
         frame.call = std::make_unique<wire::call_request_data>();
         frame.call->id = m_input.next();
         frame.call->service = "stock";
@@ -128,6 +134,32 @@
         return encodeFrame(frame);
     }
 
+    /// Returns a frame of a node whose calls this one serves, or that asks for one of this node's calls. Its time may
+    /// be early, late or missing.
+    std::string callerFrame()
+    {
+        wire::frame_data frame;
+        const auto id = m_input.next();
+        switch (m_input.next() % 4) {
+        case 0:
+            return callFrame(m_input.next() * 16);
+        case 1:
+            frame.check = std::make_unique<wire::call_check_data>();
+            frame.check->id = id % 64;
+            break;
+        case 2:
+            frame.confirmation = std::make_unique<wire::call_confirmation_data>();
+            frame.confirmation->id = id;
+            frame.confirmation->remaining_us = m_input.next() * 10'000;
+            break;
+        default:
+            frame.cancel = std::make_unique<wire::call_cancel_data>();
+            frame.cancel->id = id;
+        }
+        frame.sent_ms = m_input.next() * 16;
+        return encodeFrame(frame);
+    }
+
     std::string answerFrame()
     {
         wire::frame_data frame;
