Count sent frames in one place of the tests

Cause, from reading the whole change again: four tests of libmesh each had a loop that takes the sent frames, parses them and counts those of one kind, and the test of a zone without the store wrote its setup twice.

Change: countFrames and pulls of node_with_peers serve all of them; loseStore is the setup. All assertions stay; no product code changes.

--- a/src/libmesh/mesh_abandoned_work_test.cpp
+++ b/src/libmesh/mesh_abandoned_work_test.cpp
@@ -89,11 +89,7 @@
     /// Removes the frames that were sent and returns how many of them cancel a call.
     std::size_t cancelFrames()
     {
-        const auto sent = take<send_frame>();
-        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const send_frame& each) {
-            const auto frame = parseFrame(each.bytes);
-            return frame && frame->cancel;
-        }));
+        return countFrames<send_frame>([](const wire::frame_data& each) { return each.cancel != nullptr; });
     }
 };
 
--- a/src/libmesh/mesh_configuration_source_test.cpp
+++ b/src/libmesh/mesh_configuration_source_test.cpp
@@ -21,16 +21,6 @@
     }
 
     bool readsConfiguration() const { return subject.readsConfiguration(now); }
-
-    /// Removes the frames that were sent and returns how many of them request the configuration.
-    std::size_t pulls()
-    {
-        const auto sent = take<send_frame>();
-        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const send_frame& each) {
-            const auto frame = parseFrame(each.bytes);
-            return frame && frame->configuration_pull;
-        }));
-    }
 };
 
 TEST(configuration_source, isTheStoreForTheFirstNodeOfAZone)
@@ -116,10 +106,9 @@
     EXPECT_TRUE(node.readsConfigurationSoon());
 }
 
-// All nodes of a region lost the store for a while, and each of them fetched the configuration across the regions.
-TEST(configuration_source, isAnotherRegionForOneNodeOfAZoneThatHasLostTheStore)
+/// Lets a node and its zone lose the store while a node of another region has had a new configuration for 0.5 s.
+void loseStore(node_with_peers& node)
 {
-    later_node node;
     node.handle(store_reachability { false });
     node.storeLost = true;
     node.refreshPeers();
@@ -128,26 +117,19 @@
     node.region = "south";
     node.refreshPeers();
     node.advance(500ms);
-    EXPECT_EQ(node.pulls(), 0U);
-    EXPECT_FALSE(node.readsConfiguration());
+    EXPECT_FALSE(node.subject.readsConfiguration(node.now));
+}
+
+// All nodes of a region lost the store for a while, and each of them fetched the configuration across the regions.
+TEST(configuration_source, isAnotherRegionForOneNodeOfAZoneThatHasLostTheStore)
+{
+    later_node later;
+    loseStore(later);
+    EXPECT_EQ(later.pulls(), 0U);
 
     node_with_peers first("stock");
-    first.handle(store_reachability { false });
-    first.storeLost = true;
-    first.refreshPeers();
-    first.configurationVersion = 2;
-    first.namePrefix = "other-";
-    first.region = "south";
-    first.refreshPeers();
-    first.advance(500ms);
-    EXPECT_FALSE(first.subject.readsConfiguration(first.now));
-    const auto sent = first.take<send_frame>();
-    EXPECT_EQ(std::count_if(sent.begin(), sent.end(),
-                  [](const send_frame& each) {
-                      const auto frame = parseFrame(each.bytes);
-                      return frame && frame->configuration_pull;
-                  }),
-        1);
+    loseStore(first);
+    EXPECT_EQ(first.pulls(), 1U);
 }
 
 // The link to the node that has the configuration may be silent.
--- a/src/libmesh/mesh_late_call_test.cpp
+++ b/src/libmesh/mesh_late_call_test.cpp
@@ -72,22 +72,13 @@
         take<reply_frame>();
     }
 
-    /// Removes the replies and returns how many of them match.
-    template <typename Predicate> std::size_t replies(Predicate matches)
-    {
-        const auto sent = take<reply_frame>();
-        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [&](const reply_frame& each) {
-            const auto frame = parseFrame(each.bytes);
-            return frame && matches(*frame);
-        }));
-    }
     std::size_t checks()
     {
-        return replies([](const wire::frame_data& each) { return each.check != nullptr; });
+        return countFrames<reply_frame>([](const wire::frame_data& each) { return each.check != nullptr; });
     }
     std::size_t refusals()
     {
-        return replies([](const wire::frame_data& each) {
+        return countFrames<reply_frame>([](const wire::frame_data& each) {
             return each.failure && each.failure->kind == static_cast<std::uint8_t>(failure_kind::notExecuted);
         });
     }
--- a/src/libmesh/mesh_peers_test.h
+++ b/src/libmesh/mesh_peers_test.h
@@ -45,6 +45,22 @@
         }
     }
 
+    /// Removes the frames of that kind, send_frame or reply_frame, and returns how many of them match.
+    template <typename Action, typename Predicate> std::size_t countFrames(Predicate matches)
+    {
+        const auto sent = take<Action>();
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [&](const Action& each) {
+            const auto frame = parseFrame(each.bytes);
+            return frame && matches(*frame);
+        }));
+    }
+
+    /// Removes the frames that were sent and returns how many of them request the configuration.
+    std::size_t pulls()
+    {
+        return countFrames<send_frame>([](const wire::frame_data& each) { return each.configuration_pull != nullptr; });
+    }
+
     /// Removes and returns the calls sent to the peers, in order.
     std::vector<std::pair<socket_address, wire::call_request_data>> callFramesWithPeers()
     {
