--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -253,6 +253,36 @@
 /// Identifier of a lease in the store. 0 means no lease.
 using store_lease = std::int64_t;
 
+/// Number of the incarnation of a store. It rises when the store is restored from a copy: what was written since the
+/// copy is gone, and the revisions and leases given out since then are given out again. 0 means unknown.
+using store_era = std::uint64_t;
+
+/// A revision, and the era in which it was given out. It means nothing to the store in another era.
+struct store_position {
+    store_revision revision = 0;
+    store_era era = 0;
+};
+
+/// What the era of a reply says about the store that sent it.
+enum class era_change : std::uint8_t {
+    none,
+    risen, ///< restored since the replies before it
+    outdated, ///< sent before the store was restored, and received late
+};
+
+/// Follows the era of the store from reply to reply.
+class store_era_tracker {
+public:
+    /// Compares the era of a reply with the highest one so far. The first known era is no change.
+    era_change observe(store_era era);
+    store_era current() const { return m_current; }
+    std::uint64_t rises() const { return m_rises; }
+
+private:
+    store_era m_current = 0;
+    std::uint64_t m_rises = 0;
+};
+
 /// A key and its value as read from the store.
 struct store_entry {
     std::string key;
@@ -326,6 +356,7 @@
 struct store_result {
     std::uint64_t token = 0;
     result<store_reply> reply;
+    store_era era = 0; ///< of the store when it replied; 0 without a reply
 };
 
 /// Secret, shared by all nodes, that authenticates the links between them. Several keys are accepted at the same time
--- a/src/include/limpetcroft/fleet.h
+++ b/src/include/limpetcroft/fleet.h
@@ -232,7 +232,7 @@
 };
 struct start_store_watch {
     std::string prefix;
-    store_revision from = 0; ///< first revision of interest
+    store_position from; ///< first revision of interest
 };
 struct stop_store_watch {
     std::string prefix;
@@ -253,6 +253,7 @@
     std::string prefix;
     std::vector<store_entry> changed;
     bool broken = false; ///< the watch has ended; a new one is started by the fleet
+    store_era era = 0; ///< of the store when it reported this; 0: unknown
 };
 
 /// Answer to "in force on n of m nodes".
--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -99,15 +99,23 @@
         std::string entryValue;
         std::chrono::seconds timeToLive { 6 }; ///< of the lease
         duration keepAliveInterval = std::chrono::seconds(2);
+        /// While the node reads the configuration for its zone: its renewals tell when the store has been restored, and
+        /// a change must be in force within the bound of the configuration.
+        duration readerKeepAliveInterval = std::chrono::seconds(1);
         duration listInterval = std::chrono::seconds(8);
         duration retryInterval = std::chrono::milliseconds(400);
         duration rewatchDelay
             = std::chrono::milliseconds(100); ///< before reading the configuration again after its watch ended
+        /// After the store was restored, all nodes together register again at this rate at most.
+        double registrationsPerSecond = 100;
+        /// This node's place among them, from 0 to 1.
+        double registrationOrder = 0;
+        duration maxListAge = std::chrono::seconds(5); ///< a list may lack entries that are not older than this
     };
     struct outcome {
         std::vector<store_call> calls;
         std::optional<std::string> document; ///< configuration as read from the store
-        std::optional<store_revision> watchFrom; ///< revision from which to watch the configuration
+        std::optional<store_position> watchFrom; ///< position from which to watch the configuration
         bool unwatch = false; ///< ends the watch of the configuration
         std::optional<std::vector<std::string>> entries; ///< values of all node entries
         bool entriesArePreliminary = false; ///< read before the own entry was written: may be old
@@ -119,12 +127,18 @@
     void handle(const store_result& result, time_point now, outcome& out);
     /// Handles a new value reported by the configuration watch.
     void configurationChanged(const std::string& document, outcome& out);
+    /// Takes the era of a reply that reached the node on another way than handle(), such as a watch. seenIn: kind of
+    /// the reply, for the log.
+    era_change observeEra(store_era era, const char* seenIn, time_point now, outcome& out);
+    store_era storeEra() const { return m_era.current(); }
+    std::uint64_t storeRestores() const { return m_era.rises(); }
     /// Schedules a new read of the configuration after its watch ended.
     void watchEnded(time_point now);
     /// Reads and watches the configuration while that is wanted, and for a while after. Not wanted at first.
     void readConfiguration(bool wanted, time_point now, outcome& out);
     bool storeReachable() const { return m_storeReachable; }
-    /// Revokes the lease and with it the entry. Afterwards only the configuration is still read.
+    /// Erases the entry, not the lease: in another era its number may be that of another node. Afterwards only the
+    /// configuration is still read.
     void leave(outcome& out);
     /// Returns the time at which tick() has to be called next.
     time_point nextTimer() const;
@@ -142,12 +156,21 @@
     const task& taskFor(task_kind which) const { return m_tasks[static_cast<std::size_t>(which)]; }
     void succeed(task_kind which, const store_reply& reply, time_point now, outcome& out);
     void fail(task_kind which, const error& cause, time_point now, outcome& out);
+    void startAgain(time_point now, outcome& out);
+    void noteReachability(task_kind which, const result<store_reply>& reply, time_point now, outcome& out);
+    void readList(const store_get_reply& got, time_point now, outcome& out);
+    void checkOwnEntry(const store_get_reply& got, time_point now, outcome& out);
+    time_point nextKeepAlive(time_point now) const;
 
     options m_options;
     std::array<task, 5> m_tasks {};
     std::uint64_t m_nextToken = 1;
+    store_era_tracker m_era;
     store_lease m_lease = 0;
     bool m_written = false; ///< the entry is written under the current lease
+    time_point m_writtenAt {};
+    store_revision m_entryRevision = 0; ///< of the last write of the entry
+    std::size_t m_listedNodes = 1;
     bool m_currentListDue = true; ///< the nodes were not listed since the entry was written
     bool m_listIsCurrent = false; ///< the list in flight must not be old
     bool m_storeReachable = true; ///< the store replied to the last call
--- a/src/include/limpetcroft/store.h
+++ b/src/include/limpetcroft/store.h
@@ -30,18 +30,23 @@
 struct store_changes {
     std::vector<store_change> changes;
     store_revision revision = 0; ///< of the last change; watch again from the next one
+    store_era era = 0;
 };
 /// The changes asked for are no longer kept. The watch has ended: read the prefix, then watch from head + 1.
 struct store_compacted {
     store_revision oldest = 0; ///< oldest revision that can still be watched
+    store_era era = 0;
 };
-/// The watch has ended without reaching the store's end: read again, then watch from head + 1.
+/// The watch has ended without reaching the store's end: read again, then watch from head + 1. Also when the store was
+/// restored while it waited.
 struct store_interrupted {
     error cause;
+    store_era era = 0; ///< of the reply that ended it, if there was one
 };
 using store_watch_event = std::variant<store_changes, store_compacted, store_interrupted>;
 
-using store_callback = std::function<void(result<store_reply>)>;
+/// The outcome of a call, and the era of the store that replied; 0 without a reply.
+using store_callback = std::function<void(result<store_reply>, store_era)>;
 using store_watch_callback = std::function<void(const store_watch_event&)>;
 using store_watch_id = std::uint64_t;
 
@@ -52,12 +57,19 @@
     /// Errors: unavailable (certainly no effect; also every failed read), unknownOutcome (a write that may have taken
     /// effect), invalidArgument, notFound (no such lease), tooLarge, malformed.
     std::function<void(store_operation, duration timeout, store_callback)> call;
-    /// Watches every key that starts with the prefix, from that revision on (0: from now on).
-    std::function<store_watch_id(std::string prefix, store_revision from, store_watch_callback)> watch;
+    /// Watches every key that starts with the prefix, from that revision on (0: from now on). A watch ends when the
+    /// store replies with another era than that of the position.
+    std::function<store_watch_id(std::string prefix, store_position from, store_watch_callback)> watch;
     /// Ends a watch; its callback does not run again. Ids of ended watches are ignored.
     std::function<void(store_watch_id)> unwatch;
 };
 
+/// Returns the end of a watch whose revisions were given out before the store was restored.
+inline store_interrupted restoredWhileWatched(store_era era)
+{
+    return { { error_kind::unavailable, "the store was restored from a copy; read again, then watch again" }, era };
+}
+
 /// Returns whether a failed operation of this kind may have changed the store.
 bool isWrite(const store_operation& operation);
 
@@ -78,7 +90,10 @@
     std::optional<store_watch_event> changesSince(const std::string& prefix, store_revision from) const;
     /// Forgets all changes up to and including that revision.
     void compact(store_revision revision);
+    /// Takes the content of a copy and begins a new era. Revisions and leases go on from those of the copy.
+    void restore(const store_state& copy);
     store_revision head() const { return m_head; }
+    store_era era() const { return m_era; }
 
 private:
     struct lease_record {
@@ -104,6 +119,7 @@
     store_revision m_head = 1;
     store_revision m_compacted = 0;
     store_lease m_nextLease = 7001;
+    store_era m_era = 1;
 };
 
 /// Faults that the fake and the stand-in server can produce.
@@ -116,6 +132,8 @@
     watchBehind, ///< watches deliver nothing while it is set
     compaction, ///< the changes up to the head are forgotten
     clockJump, ///< the store's clock goes forward by the amount, which expires leases whose holders are paused
+    copy, ///< the content is copied, for a later restore
+    restore, ///< the content is that of the last copy, or none, in a new era. Present watches wait on.
 };
 
 /// One line of a table of faults.
@@ -167,13 +185,14 @@
     struct watcher {
         std::string prefix;
         store_revision next = 0;
+        store_era era = 0; ///< in which it began
         store_watch_callback callback;
     };
     struct pending_call;
 
     void call(store_operation operation, duration timeout, store_callback callback);
     void arrive(const std::shared_ptr<pending_call>& pending);
-    store_watch_id watch(std::string prefix, store_revision from, store_watch_callback callback);
+    store_watch_id watch(std::string prefix, store_position from, store_watch_callback callback);
     void deliverWatches();
     void endWatches(const std::string& reason);
     time_point storeTime() const { return m_now + m_faults.clockOffset; }
@@ -181,6 +200,7 @@
     duration m_latency;
     time_point m_now {};
     store_state m_state;
+    store_state m_copy;
     store_fault_state m_faults;
     store_counters m_counters;
     std::multimap<time_point, std::function<void()>> m_due;
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -57,3 +57,17 @@
         EXPECT_LT(fraction, 1.0);
     }
 }
+
+// Guards against numbers of one incarnation of the store that are used with the next one.
+TEST(store_era_tracker, tellsRestoredStoresFromLateReplies)
+{
+    store_era_tracker tracker;
+    EXPECT_EQ(tracker.observe(0), era_change::none);
+    EXPECT_EQ(tracker.observe(4), era_change::none) << "nothing was known of another era";
+    EXPECT_EQ(tracker.observe(0), era_change::none) << "no reply";
+    EXPECT_EQ(tracker.observe(5), era_change::risen);
+    EXPECT_EQ(tracker.observe(4), era_change::outdated);
+    EXPECT_EQ(tracker.observe(9), era_change::risen);
+    EXPECT_EQ(tracker.current(), 9U);
+    EXPECT_EQ(tracker.rises(), 2U);
+}
--- a/src/libfleet/fleet_driver.h
+++ b/src/libfleet/fleet_driver.h
@@ -273,7 +273,7 @@
     void carryOut(std::size_t index, start_store_watch& action)
     {
         nodes[index].watching = true;
-        notify(index, action.from);
+        notify(index, action.from.revision);
     }
     void carryOut(std::size_t index, stop_store_watch& /*action*/) { nodes[index].watching = false; }
     void carryOut(std::size_t /*index*/, members_changed& /*action*/) { }
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -1,5 +1,5 @@
-// Guards a node's entry in the store: written under a lease, kept alive, rewritten after its lease expired or after an
-// outage, and revoked on a planned shutdown.
+// Guards a node's entry in the store: written under a lease, kept alive, rewritten after its lease expired, after an
+// outage or when the store was restored from a copy, and erased on a planned shutdown.
 
 #include <gtest/gtest.h>
 #include <limpetcroft/mesh.h>
@@ -17,6 +17,8 @@
     store_lease nextLease = 7;
     bool unavailable = false;
     bool leaseExpired = false;
+    store_era era = 1;
+    std::map<std::string, store_entry> entries;
     std::vector<store_operation> seen;
 
     result<store_reply> answer(const store_operation& operation)
@@ -24,10 +26,23 @@
         seen.push_back(operation);
         if (unavailable)
             return fail(error_kind::unavailable, "down");
-        if (std::holds_alternative<store_get>(operation))
-            return store_get_reply { {}, 10 };
-        if (std::holds_alternative<store_txn>(operation))
+        if (const auto* get = std::get_if<store_get>(&operation)) {
+            store_get_reply reply { {}, 10 };
+            for (const auto& [key, entry] : entries) {
+                if (key.starts_with(get->key))
+                    reply.entries.push_back(entry);
+            }
+            return reply;
+        }
+        if (const auto* txn = std::get_if<store_txn>(&operation)) {
+            for (const auto& write : txn->writes) {
+                if (const auto* put = std::get_if<store_put>(&write))
+                    entries[put->key] = { put->key, put->value, 11, put->lease };
+                else
+                    entries.erase(std::get<store_erase>(write).key);
+            }
             return store_txn_reply { true, {}, 11 };
+        }
         if (std::holds_alternative<store_lease_grant>(operation)) {
             leaseExpired = false;
             return store_lease_reply { ++nextLease, 6s };
@@ -35,6 +50,13 @@
         return store_lease_reply { nextLease, leaseExpired ? 0s : 6s };
     }
 
+    /// Takes a copy without the node's entry. All lease numbers are in use again: renewals succeed.
+    void restore()
+    {
+        ++era;
+        entries.clear();
+    }
+
     template <typename Operation> std::size_t count() const
     {
         return static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(),
@@ -46,6 +68,7 @@
     fake_store store;
     mesh::registry subject { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
     time_point now = start;
+    std::optional<store_position> watchedFrom;
 
     registry_fixture()
     {
@@ -58,7 +81,11 @@
         while (!out.calls.empty()) {
             mesh::registry::outcome next;
             for (const auto& call : out.calls)
-                subject.handle({ call.token, store.answer(call.operation) }, now, next);
+                subject.handle({ call.token, store.answer(call.operation), store.era }, now, next);
+            if (next.unwatch)
+                watchedFrom.reset();
+            if (next.watchFrom)
+                watchedFrom = next.watchFrom;
             out = std::move(next);
         }
     }
@@ -106,7 +133,7 @@
     mesh::registry::outcome out;
     fixture.subject.leave(out);
     fixture.applyActions(std::move(out));
-    EXPECT_EQ(fixture.store.count<store_lease_revoke>(), 1U);
+    EXPECT_TRUE(fixture.store.entries.empty());
     fixture.now += 60s;
     mesh::registry::outcome later;
     fixture.subject.tick(fixture.now, later);
@@ -254,6 +281,129 @@
     EXPECT_EQ(configurationReads(fixture), before);
 }
 
+// A lease number of the store before it was restored may be that of another node.
+TEST(registry, leavesWithoutEndingALeaseByItsNumber)
+{
+    registry_fixture fixture;
+    fixture.runFor(3s);
+    fixture.store.restore();
+    fixture.store.entries["nodes/b"] = { "nodes/b", "10.0.0.2:7000", 5, fixture.store.nextLease };
+    mesh::registry::outcome out;
+    fixture.subject.leave(out);
+    fixture.applyActions(std::move(out));
+    EXPECT_EQ(fixture.store.count<store_lease_revoke>(), 0U);
+    EXPECT_EQ(fixture.store.entries.count("nodes/b"), 1U);
+}
+
+// Nobody called into the absence of the store: a watch from a revision that is given out again reported nothing.
+TEST(registry, readsAndWatchesAgainSoonAfterTheStoreWasRestored)
+{
+    for (const auto phase : { 0ms, 300ms, 700ms, 950ms }) {
+        registry_fixture fixture;
+        fixture.runFor(4s + phase);
+        const auto before = configurationReads(fixture);
+        EXPECT_EQ(fixture.watchedFrom->era, 1U);
+        fixture.store.restore();
+        fixture.runFor(1100ms);
+        EXPECT_EQ(configurationReads(fixture), before + 1) << phase.count();
+        ASSERT_TRUE(fixture.watchedFrom) << phase.count();
+        EXPECT_EQ(fixture.watchedFrom->era, 2U) << phase.count();
+        EXPECT_EQ(fixture.subject.storeRestores(), 1U);
+    }
+}
+
+// The renewal of a lease that another node holds by now was taken as proof that the own entry stands.
+TEST(registry, writesItsEntryUnderANewLeaseAfterTheStoreWasRestored)
+{
+    registry_fixture fixture;
+    fixture.runFor(4s);
+    const auto before = fixture.store.nextLease;
+    fixture.store.restore();
+    fixture.runFor(2500ms);
+    EXPECT_GT(fixture.store.nextLease, before);
+    ASSERT_EQ(fixture.store.entries.count("nodes/a"), 1U);
+    EXPECT_EQ(fixture.store.entries.at("nodes/a").lease, fixture.store.nextLease);
+    const auto lists = listsIn(fixture.store.seen);
+    EXPECT_FALSE(lists.back().stale) << "nodes that were listed before may be missing from the copy, and others return";
+}
+
+// Several restores may follow each other before a node has registered again.
+TEST(registry, registersOnceMoreAfterEachOfSeveralRestores)
+{
+    registry_fixture fixture;
+    fixture.runFor(4s);
+    for (int count = 0; count < 4; ++count) {
+        fixture.store.restore();
+        fixture.runFor(150ms);
+    }
+    fixture.runFor(2500ms);
+    EXPECT_EQ(fixture.store.entries.at("nodes/a").lease, fixture.store.nextLease);
+    EXPECT_EQ(fixture.watchedFrom->era, fixture.store.era);
+}
+
+// A read that was answered before the store was restored, and arrived after it, named a position to watch from.
+TEST(registry, dropsRepliesOfTheStoreBeforeItWasRestored)
+{
+    registry_fixture fixture;
+    fixture.runFor(1s);
+    fixture.subject.watchEnded(fixture.now);
+    fixture.now += 200ms;
+    mesh::registry::outcome out;
+    fixture.subject.tick(fixture.now, out);
+    const auto late = std::find_if(out.calls.begin(), out.calls.end(), [](const store_call& each) {
+        const auto* get = std::get_if<store_get>(&each.operation);
+        return get && get->key == "conf";
+    });
+    ASSERT_NE(late, out.calls.end());
+    mesh::registry::outcome risen;
+    EXPECT_EQ(fixture.subject.observeEra(2, "watch", fixture.now, risen), era_change::risen);
+    EXPECT_TRUE(risen.unwatch);
+    mesh::registry::outcome next;
+    store_get_reply old { { { "conf", "older" } }, 99 };
+    fixture.subject.handle({ late->token, old, 1 }, fixture.now, next);
+    EXPECT_FALSE(next.document);
+    EXPECT_FALSE(next.watchFrom);
+}
+
+// A write sent before the store was restored and executed after it bound the entry to the lease of another node.
+TEST(registry, writesItsEntryAgainWhenAListShowsItUnderAnotherLease)
+{
+    registry_fixture fixture;
+    fixture.runFor(3s);
+    fixture.store.entries.at("nodes/a").lease = 3;
+    fixture.runFor(10s);
+    EXPECT_EQ(fixture.store.entries.at("nodes/a").lease, fixture.store.nextLease);
+    fixture.store.entries.clear();
+    fixture.runFor(10s);
+    EXPECT_EQ(fixture.store.entries.count("nodes/a"), 1U);
+}
+
+// Thousands of nodes that registered at once would exceed the writes that the store accepts.
+TEST(registry, nodesRegisterAgainSpreadOverTime)
+{
+    constexpr int nodes = 300;
+    std::vector<time_point> writes;
+    for (int index = 0; index < nodes; ++index) {
+        mesh::registry::options options { "conf", "nodes/", "a", "10.0.0.1:7000" };
+        options.registrationOrder = index / static_cast<double>(nodes);
+        registry_fixture fixture;
+        fixture.subject = mesh::registry { options };
+        for (int other = 0; other < nodes - 1; ++other)
+            fixture.store.entries["nodes/n" + std::to_string(other)] = { "nodes/n" + std::to_string(other), "", 5, 1 };
+        fixture.runFor(4s);
+        const auto restored = fixture.now;
+        const auto before = fixture.store.count<store_txn>();
+        fixture.store.restore();
+        while (fixture.store.count<store_txn>() == before && fixture.now < restored + 10s)
+            fixture.runFor(50ms);
+        writes.push_back(fixture.now);
+    }
+    std::sort(writes.begin(), writes.end());
+    EXPECT_LE(writes.back() - writes.front(), 3500ms);
+    for (std::size_t index = 0; index + 150 < writes.size(); ++index)
+        EXPECT_GE(writes[index + 150] - writes[index], 1s) << "more than 150 writes in a second";
+}
+
 TEST(registry, readsTheConfigurationAtOnceWhenNoOtherNodeDoes)
 {
     registry_fixture fixture;
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -65,30 +65,99 @@
 
 void registry::handle(const store_result& result, time_point now, outcome& out)
 {
-    for (std::size_t index = 0; index < m_tasks.size(); ++index) {
-        if (m_tasks[index].token != result.token)
-            continue;
-        m_tasks[index].token = 0;
-        const auto which = static_cast<task_kind>(index);
-        const bool reached = result.reply.has_value() || result.reply.error().kind == error_kind::notFound;
-        if (reached != m_storeReachable) {
-            m_storeReachable = reached;
-            for (auto& task : m_tasks) {
-                if (reached && task.at != never)
-                    task.at = std::min(task.at, now);
-            }
-            // The watch may have lost its connection unnoticed, so the configuration is read again.
-            if (reached && which != task_kind::configuration && m_readsConfiguration)
-                taskFor(task_kind::configuration).at = std::min(taskFor(task_kind::configuration).at, now);
-            out.log.push_back({ reached ? "store_regained" : "store_lost",
-                { { "call", taskNames[index] }, { "reason", result.reply ? "" : result.reply.error().message } } });
-        }
-        if (result.reply)
-            succeed(which, *result.reply, now, out);
-        else
-            fail(which, result.reply.error(), now, out);
+    const auto found = std::find_if(m_tasks.begin(), m_tasks.end(),
+        [&](const task& each) { return result.token != 0 && each.token == result.token; });
+    if (found == m_tasks.end()) {
+        observeEra(result.era, "late", now, out);
+        return;
+    }
+    const auto index = static_cast<std::size_t>(found - m_tasks.begin());
+    const auto which = static_cast<task_kind>(index);
+    const auto change = observeEra(result.era, taskNames.at(index), now, out);
+    // This reply revealed that the store was restored, and all calls are made again.
+    if (change == era_change::risen)
+        return;
+    found->token = 0;
+    if (change == era_change::outdated) {
+        found->at = now + m_options.retryInterval;
+        return;
+    }
+    noteReachability(which, result.reply, now, out);
+    if (result.reply)
+        succeed(which, *result.reply, now, out);
+    else
+        fail(which, result.reply.error(), now, out);
+}
+
+/// Follows whether the store replies. When it does again, everything that waits for it is due.
+void registry::noteReachability(task_kind which, const result<store_reply>& reply, time_point now, outcome& out)
+{
+    const bool reached = reply.has_value() || reply.error().kind == error_kind::notFound;
+    if (reached == m_storeReachable)
         return;
+    m_storeReachable = reached;
+    for (auto& task : m_tasks) {
+        if (reached && task.at != never)
+            task.at = std::min(task.at, now);
+    }
+    // The watch may have lost its connection unnoticed, so the configuration is read again.
+    if (reached && which != task_kind::configuration && m_readsConfiguration)
+        taskFor(task_kind::configuration).at = std::min(taskFor(task_kind::configuration).at, now);
+    out.log.push_back({ reached ? "store_regained" : "store_lost",
+        { { "call", taskNames.at(static_cast<std::size_t>(which)) },
+            { "reason", reply ? "" : reply.error().message } } });
+}
+
+era_change registry::observeEra(store_era era, const char* seenIn, time_point now, outcome& out)
+{
+    const auto before = m_era.current();
+    const auto change = m_era.observe(era);
+    if (change == era_change::none)
+        return change;
+    if (change == era_change::outdated) {
+        out.log.push_back({ "store_reply_outdated",
+            { { "era", std::to_string(era) }, { "current", std::to_string(before) }, { "call", seenIn } } });
+        return change;
     }
+    const auto lease = m_lease;
+    startAgain(now, out);
+    const auto registerAt = taskFor(task_kind::lease).at;
+    out.log.push_back({ "store_restored",
+        { { "era", std::to_string(era) }, { "before", std::to_string(before) }, { "call", seenIn },
+            { "dropped_lease", std::to_string(lease) }, { "reads_configuration", m_readsConfiguration ? "1" : "0" },
+            { "registers_in_ms",
+                m_leftFleet ? ""
+                            : std::to_string(
+                                std::chrono::duration_cast<std::chrono::milliseconds>(registerAt - now).count()) } } });
+    return change;
+}
+
+/// Drops all that the store said before it was restored: calls in flight, the watch and the lease. What it says now
+/// may be given out in another meaning, and is asked for again.
+void registry::startAgain(time_point now, outcome& out)
+{
+    for (auto& task : m_tasks)
+        task.token = 0;
+    m_lease = 0;
+    m_written = false;
+    m_entryRevision = 0;
+    m_currentListDue = true;
+    out.unwatch = true;
+    taskFor(task_kind::entry).at = never;
+    taskFor(task_kind::keepAlive).at = never;
+    taskFor(task_kind::configuration).at = m_readsConfiguration ? now : never;
+    // The few nodes that read the configuration register at once: their renewals watch over the store.
+    const double order = m_readsConfiguration ? 0 : m_options.registrationOrder;
+    const std::chrono::duration<double> wait(
+        order * static_cast<double>(m_listedNodes) / m_options.registrationsPerSecond);
+    taskFor(task_kind::lease).at = now + std::chrono::duration_cast<duration>(wait);
+    // Until this node lists the others after its registration, it knows them from their statuses.
+    taskFor(task_kind::list).at = now + m_options.listInterval;
+}
+
+time_point registry::nextKeepAlive(time_point now) const
+{
+    return now + (m_readsConfiguration ? m_options.readerKeepAliveInterval : m_options.keepAliveInterval);
 }
 
 void registry::succeed(task_kind which, const store_reply& reply, time_point now, outcome& out)
@@ -100,7 +169,7 @@
             configurationChanged(got->entries.front().value, out);
         // Watch even if there is no configuration yet, to see its creation.
         if (m_readsConfiguration)
-            out.watchFrom = got->head + 1;
+            out.watchFrom = store_position { got->head + 1, m_era.current() };
         break;
     }
     case task_kind::lease:
@@ -114,34 +183,59 @@
             break;
         }
         m_written = true;
-        taskFor(task_kind::keepAlive).at = now + m_options.keepAliveInterval;
+        m_writtenAt = now;
+        m_entryRevision = std::get<store_txn_reply>(reply).head;
+        taskFor(task_kind::keepAlive).at = nextKeepAlive(now);
         taskFor(task_kind::list).at = now;
         m_currentListDue = true;
         out.log.push_back({ "entry_written", { { "lease", std::to_string(m_lease) } } });
         break;
     case task_kind::keepAlive:
         if (std::get<store_lease_reply>(reply).timeToLive.count() > 0) {
-            taskFor(task_kind::keepAlive).at = now + m_options.keepAliveInterval;
+            taskFor(task_kind::keepAlive).at = nextKeepAlive(now);
             break;
         }
         out.log.push_back({ "entry_lapsed", { { "lease", std::to_string(m_lease) } } });
         taskFor(task_kind::lease).at = now;
         break;
-    case task_kind::list: {
-        const auto& got = std::get<store_get_reply>(reply);
-        std::vector<std::string> values;
-        for (const auto& each : got.entries)
-            values.push_back(each.value);
-        if (!got.ignored.empty())
-            out.log.push_back({ "entries_ignored",
-                { { "count", std::to_string(got.ignored.size()) }, { "reason", got.ignored.front() } } });
-        out.entries = std::move(values);
-        m_currentListDue = m_currentListDue && !m_listIsCurrent;
-        out.entriesArePreliminary = m_currentListDue;
-        taskFor(task_kind::list).at = m_currentListDue && m_written ? now : now + m_options.listInterval;
+    case task_kind::list:
+        readList(std::get<store_get_reply>(reply), now, out);
         break;
     }
-    }
+}
+
+void registry::readList(const store_get_reply& got, time_point now, outcome& out)
+{
+    std::vector<std::string> values;
+    for (const auto& each : got.entries)
+        values.push_back(each.value);
+    if (!got.ignored.empty())
+        out.log.push_back({ "entries_ignored",
+            { { "count", std::to_string(got.ignored.size()) }, { "reason", got.ignored.front() } } });
+    out.entries = std::move(values);
+    m_listedNodes = std::max<std::size_t>(got.entries.size(), 1);
+    m_currentListDue = m_currentListDue && !m_listIsCurrent;
+    out.entriesArePreliminary = m_currentListDue;
+    taskFor(task_kind::list).at = m_currentListDue && m_written ? now : now + m_options.listInterval;
+    checkOwnEntry(got, now, out);
+}
+
+/// An answered renewal does not prove that the entry stands, and a write that was delayed since before the store was
+/// restored may have bound it to the lease of another node.
+void registry::checkOwnEntry(const store_get_reply& got, time_point now, outcome& out)
+{
+    const bool mayBeMissing = !m_written || now - m_writtenAt < m_options.maxListAge;
+    if (mayBeMissing || taskFor(task_kind::entry).token != 0)
+        return;
+    const auto own = std::find_if(got.entries.begin(), got.entries.end(),
+        [&](const store_entry& each) { return each.key == m_options.entryPrefix + m_options.entryName; });
+    if (own != got.entries.end() && own->lease == m_lease)
+        return;
+    out.log.push_back({ "entry_missing",
+        { { "lease", std::to_string(m_lease) },
+            { "listed_lease", own == got.entries.end() ? "none" : std::to_string(own->lease) } } });
+    m_written = false;
+    taskFor(task_kind::entry).at = now;
 }
 
 void registry::fail(task_kind which, const error& cause, time_point now, outcome& out)
@@ -177,6 +271,9 @@
         return;
     m_readsConfiguration = reads;
     out.unwatch = !reads;
+    auto& keepAlive = taskFor(task_kind::keepAlive);
+    if (reads && keepAlive.at != never)
+        keepAlive.at = std::min(keepAlive.at, nextKeepAlive(now));
     auto& task = taskFor(task_kind::configuration);
     if (task.token == 0)
         task.at = reads ? now : never;
@@ -192,8 +289,15 @@
 void registry::leave(outcome& out)
 {
     m_leftFleet = true;
-    if (m_lease != 0)
-        out.calls.push_back({ m_nextToken++, store_lease_revoke { m_lease } });
+    if (!m_written && taskFor(task_kind::entry).token == 0)
+        return;
+    const auto key = m_options.entryPrefix + m_options.entryName;
+    store_txn txn;
+    // Another process of this node may have written the entry again when a delayed copy of this call takes effect.
+    if (m_written)
+        txn.compares.push_back({ key, m_entryRevision });
+    txn.writes.emplace_back(store_erase { key });
+    out.calls.push_back({ m_nextToken++, std::move(txn) });
 }
 
 time_point registry::nextTimer() const
--- a/src/libnet/control.cpp
+++ b/src/libnet/control.cpp
@@ -43,9 +43,10 @@
 void control_task::call(store_call call)
 {
     post(m_context, [this, call = std::move(call)] {
-        m_store->port().call(call.operation, storeTimeout, [this, token = call.token](result<store_reply> reply) {
-            deliver(store_result { token, std::move(reply) });
-        });
+        m_store->port().call(
+            call.operation, storeTimeout, [this, token = call.token](result<store_reply> reply, store_era era) {
+                deliver(store_result { token, std::move(reply), era });
+            });
     });
 }
 
@@ -73,6 +74,7 @@
 {
     fleet_watch_event converted;
     converted.prefix = prefix;
+    converted.era = std::visit([](const auto& each) { return each.era; }, event);
     const auto* changes = std::get_if<store_changes>(&event);
     converted.broken = !changes;
     if (changes) {
--- a/src/libnode/network_test.cpp
+++ b/src/libnode/network_test.cpp
@@ -262,15 +262,17 @@
 void test_network::callStore(std::size_t index, const store_call& call)
 {
     const auto run = m_vms[index].run;
-    const auto answer = [this, index, run, token = call.token](result<store_reply> reply) {
-        schedule(m_now, [this, index, run, token, reply = std::move(reply)] {
+    const auto answer = [this, index, run, token = call.token](result<store_reply> reply, store_era era) {
+        schedule(m_now, [this, index, run, token, reply = std::move(reply), era] {
             if (m_vms[index].run == run)
-                runOnVm(index, [this, index, token, reply] { deliver(index, store_result { token, reply }); });
+                runOnVm(index, [this, index, token, reply, era] {
+                    deliver(index, store_result { token, reply, era });
+                });
         });
     };
     if (m_storePartition && m_storePartition(m_vms[index])) {
         schedule(m_now + std::chrono::milliseconds(1500), [answer, write = isWrite(call.operation)] {
-            answer(fail(write ? error_kind::unknownOutcome : error_kind::unavailable, "store cannot be reached"));
+            answer(fail(write ? error_kind::unknownOutcome : error_kind::unavailable, "store cannot be reached"), 0);
         });
         return;
     }
@@ -287,7 +289,8 @@
             auto& watcher = m_vms[index];
             if (watcher.run != run || watcher.watches.count(prefix) == 0)
                 return;
-            fleet_watch_event converted { prefix, {}, true };
+            fleet_watch_event converted { prefix, {}, true,
+                std::visit([](const auto& each) { return each.era; }, event) };
             const auto* changes = std::get_if<store_changes>(&event);
             if (m_storePartition && m_storePartition(watcher))
                 changes = nullptr;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -66,6 +66,19 @@
         return options;
     }
 
+    mesh::registry::options makeRegistryOptions(const daemon_settings& settings, const deployment_adapter& adapter)
+    {
+        mesh::registry::options options;
+        options.configurationKey = adapter.configurationKey;
+        options.entryPrefix = adapter.entryPrefix;
+        options.entryName = settings.name;
+        options.entryValue = toText(settings.advertisedLinkAddress.value_or(settings.linkAddress)) + entrySeparator
+            + settings.availabilityZone;
+        random_source order(makeNodeId(settings.name).value);
+        options.registrationOrder = order.uniform();
+        return options;
+    }
+
 } // namespace
 
 http_answer textResponse(int status, std::string text)
@@ -83,9 +96,7 @@
     , log(STDOUT_FILENO, settings.name)
     , bodies(bodyBudget(settings))
     , node(makeNodeOptions(settings))
-    , registry({ adapter.configurationKey, adapter.entryPrefix, settings.name,
-          toText(settings.advertisedLinkAddress.value_or(settings.linkAddress)) + entrySeparator
-              + settings.availabilityZone })
+    , registry(makeRegistryOptions(settings, adapter))
     , clientServer(loop, settings.clientAddress, clientCallbacks())
     , healthServer(loop, settings.healthAddress,
           immediateCallbacks(healthServer,
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -72,7 +72,7 @@
     void tickRegistry();
     void execute(mesh::registry::outcome& outcome);
     void chooseConfigurationSource();
-    void startWatch(store_revision from);
+    void startWatch(store_position from);
     void reportListedNodes(const std::vector<std::string>& entries, bool preliminary);
     bool idle() const;
     void quitWhenStopped();
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -40,9 +40,9 @@
     for (auto& call : outcome.calls) {
         const auto token = call.token;
         nodeMetrics.countStoreCall();
-        store.call(std::move(call.operation), storeTimeout, [this, token](result<store_reply> reply) {
+        store.call(std::move(call.operation), storeTimeout, [this, token](result<store_reply> reply, store_era era) {
             mesh::registry::outcome next;
-            registry.handle({ token, std::move(reply) }, bootTime(), next);
+            registry.handle({ token, std::move(reply), era }, bootTime(), next);
             execute(next);
         });
     }
@@ -52,12 +52,13 @@
         applyConfiguration(*outcome.document, "store");
     if (outcome.entries)
         reportListedNodes(*outcome.entries, outcome.entriesArePreliminary);
-    if (outcome.watchFrom)
-        startWatch(*outcome.watchFrom);
     if (outcome.unwatch && watch) {
         store.unwatch(*watch);
         watch.reset();
     }
+    if (outcome.watchFrom)
+        startWatch(*outcome.watchFrom);
+    nodeMetrics.setStoreEra(registry.storeEra(), registry.storeRestores());
     if (std::exchange(storeReachable, registry.storeReachable()) != registry.storeReachable())
         handle(mesh::store_reachability { registry.storeReachable() });
     loop.cancelTimer(registryTimer);
@@ -74,15 +75,17 @@
     execute(outcome);
 }
 
-void mesh_daemon::state::startWatch(store_revision from)
+void mesh_daemon::state::startWatch(store_position from)
 {
     if (watch)
         store.unwatch(*watch);
     watch = store.watch(adapter.configurationKey, from, [this](const store_watch_event& event) {
         mesh::registry::outcome outcome;
+        const auto era = std::visit([](const auto& each) { return each.era; }, event);
+        const auto change = registry.observeEra(era, "watch", bootTime(), outcome);
         if (const auto* changes = std::get_if<store_changes>(&event)) {
             for (const auto& each : changes->changes) {
-                if (!each.erased && each.entry.key == adapter.configurationKey)
+                if (change == era_change::none && !each.erased && each.entry.key == adapter.configurationKey)
                     registry.configurationChanged(each.entry.value, outcome);
             }
         } else {
--- a/src/libproxy/metrics.h
+++ b/src/libproxy/metrics.h
@@ -13,6 +13,11 @@
     void clientDisconnected(std::uint64_t exchange) { m_startTimes.erase(exchange); }
     void countResponse(std::uint64_t exchange, int status, time_point now);
     void countStoreCall() { ++m_storeCalls; }
+    void setStoreEra(store_era era, std::uint64_t restores)
+    {
+        m_storeEra = era;
+        m_storeRestores = restores;
+    }
     std::string format(const mesh::node_statistics& statistics) const;
 
 private:
@@ -23,6 +28,8 @@
     std::array<std::uint64_t, bucketCount + 1> m_buckets {};
     double m_latencySum = 0;
     std::uint64_t m_storeCalls = 0;
+    store_era m_storeEra = 0;
+    std::uint64_t m_storeRestores = 0; ///< noticed by this process
 };
 
 /// Returns whether a header applies to one connection only (RFC 9110, section 7.6.1) or is generated anew on each hop,
--- a/src/libstore/config_client.cpp
+++ b/src/libstore/config_client.cpp
@@ -12,7 +12,7 @@
 
     template <typename Done> void getOne(const store_port& port, duration timeout, const std::string& key, Done done)
     {
-        port.call(store_get { key }, timeout, [done = std::move(done)](const result<store_reply>& reply) {
+        port.call(store_get { key }, timeout, [done = std::move(done)](const result<store_reply>& reply, store_era) {
             if (!reply) {
                 done(result<std::optional<store_entry>>(tl::unexpected(reply.error())));
                 return;
@@ -125,7 +125,7 @@
 void config_client::send(const std::shared_ptr<pending_write>& pending) const
 {
     ++pending->sends;
-    const auto onReply = [client = *this, pending](const result<store_reply>& reply) mutable {
+    const auto onReply = [client = *this, pending](const result<store_reply>& reply, store_era) mutable {
         if (reply) {
             client.judge(pending, std::get<store_txn_reply>(*reply));
             return;
--- a/src/libstore/fake_store.cpp
+++ b/src/libstore/fake_store.cpp
@@ -10,11 +10,11 @@
     store_callback callback;
     bool answered = false;
 
-    void answer(result<store_reply> reply)
+    void answer(result<store_reply> reply, store_era era)
     {
         if (!answered) {
             answered = true;
-            callback(std::move(reply));
+            callback(std::move(reply), era);
         }
     }
 };
@@ -29,7 +29,7 @@
     return {
         .call = [this](store_operation operation, duration timeout,
                     store_callback callback) { call(std::move(operation), timeout, std::move(callback)); },
-        .watch = [this](std::string prefix, store_revision from,
+        .watch = [this](std::string prefix, store_position from,
                      store_watch_callback callback) { return watch(std::move(prefix), from, std::move(callback)); },
         .unwatch = [this](store_watch_id id) { m_watchers.erase(id); },
     };
@@ -40,7 +40,7 @@
     count(m_counters, operation);
     const std::shared_ptr<pending_call> pending(new pending_call { std::move(operation), std::move(callback) });
     m_due.emplace(m_now + timeout, [pending] {
-        pending->answer(tl::unexpected(missingReply(pending->operation, "the store did not answer in time")));
+        pending->answer(tl::unexpected(missingReply(pending->operation, "the store did not answer in time")), 0);
     });
     m_due.emplace(m_now + m_latency / 2 + m_faults.delay, [this, pending] { arrive(pending); });
 }
@@ -60,14 +60,16 @@
     if (fate == call_fate::replyLost) {
         return;
     }
-    m_due.emplace(m_now + m_latency / 2, [pending, reply = std::move(reply)] { pending->answer(reply); });
+    m_due.emplace(m_now + m_latency / 2,
+        [pending, reply = std::move(reply), era = m_state.era()] { pending->answer(reply, era); });
 }
 
-store_watch_id fake_store::watch(std::string prefix, store_revision from, store_watch_callback callback)
+store_watch_id fake_store::watch(std::string prefix, store_position from, store_watch_callback callback)
 {
     ++m_counters.watches;
     const store_watch_id id = m_nextWatch++;
-    m_watchers[id] = { std::move(prefix), from == 0 ? m_state.head() + 1 : from, std::move(callback) };
+    const auto next = from.revision == 0 ? m_state.head() + 1 : from.revision;
+    m_watchers[id] = { std::move(prefix), next, from.era == 0 ? m_state.era() : from.era, std::move(callback) };
     m_due.emplace(m_now + m_latency, [] {});
     return id;
 }
@@ -119,6 +121,12 @@
             continue;
         }
         const auto event = m_state.changesSince(found->second.prefix, found->second.next);
+        if (event && found->second.era != m_state.era()) {
+            const store_watch_callback callback = found->second.callback;
+            m_watchers.erase(found);
+            callback(restoredWhileWatched(m_state.era()));
+            continue;
+        }
         if (!event) {
             // A later compaction concerns only what the watch has not seen.
             found->second.next = std::max(found->second.next, m_state.head() + 1);
@@ -151,6 +159,12 @@
     if (injection.fault == store_fault::compaction) {
         m_state.compact(m_state.head());
     }
+    if (injection.fault == store_fault::copy) {
+        m_copy = m_state;
+    }
+    if (injection.fault == store_fault::restore) {
+        m_state.restore(m_copy);
+    }
 }
 
 } // namespace limpet
--- a/src/libstore/fault.cpp
+++ b/src/libstore/fault.cpp
@@ -27,6 +27,8 @@
         break;
     case store_fault::watchDropped:
     case store_fault::compaction:
+    case store_fault::copy:
+    case store_fault::restore:
         break;
     }
 }
@@ -95,6 +97,10 @@
             injections.push_back({ .fault = store_fault::watchBehind, .active = active });
         } else if (name == "compact" && active) {
             injections.push_back({ .fault = store_fault::compaction });
+        } else if (name == "copy" && active) {
+            injections.push_back({ .fault = store_fault::copy });
+        } else if (name == "restore" && active) {
+            injections.push_back({ .fault = store_fault::restore });
         } else if (name == "clock_jump_ms" && isCount) {
             injections.push_back({ .fault = store_fault::clockJump, .amount = amount });
         } else {
--- a/src/libstore/fault.h
+++ b/src/libstore/fault.h
@@ -4,7 +4,7 @@
 
 namespace limpet {
 
-/// Sets the lasting part of a fault. watchDropped and compaction act once and are up to the caller.
+/// Sets the lasting part of a fault. watchDropped, compaction, copy and restore act once and are up to the caller.
 void setFault(store_fault_state& faults, const store_injection& injection);
 
 /// What a fault does to one call.
--- a/src/libstore/gateway.cpp
+++ b/src/libstore/gateway.cpp
@@ -163,23 +163,29 @@
         return reply;
     }
 
-    store_reply parseBody(const store_operation& operation, const json& body)
+    store_reply parseContent(const store_operation& operation, const json& reply)
     {
         if (std::holds_alternative<store_get>(operation)) {
-            return parseGetReply(body);
+            return parseGetReply(reply);
         }
         if (std::holds_alternative<store_txn>(operation)) {
-            return parseTxnReply(body);
+            return parseTxnReply(reply);
         }
+        return store_lease_reply { integer(reply, "ID"), std::chrono::seconds(integer(reply, "TTL")) };
+    }
+
+    gateway_reply parseBody(const store_operation& operation, const json& body)
+    {
         // A keep-alive is a stream, whose messages are wrapped in "result".
-        const json* const wrapped = member(body, "result");
+        const bool isStream = std::holds_alternative<store_lease_keep_alive>(operation);
+        const json* const wrapped = isStream ? member(body, "result") : nullptr;
         const json& reply = wrapped == nullptr ? body : *wrapped;
-        return store_lease_reply { integer(reply, "ID"), std::chrono::seconds(integer(reply, "TTL")) };
+        return { parseContent(operation, reply), parseCluster(reply) };
     }
 
-    json encodeGetReply(const store_get_reply& reply)
+    json encodeGetReply(const store_get_reply& reply, store_era cluster)
     {
-        json body { { "header", header(reply.head) } };
+        json body { { "header", header(reply.head, cluster) } };
         if (!reply.entries.empty()) {
             body["kvs"] = encodeEntries(reply.entries);
             body["count"] = std::to_string(reply.entries.size());
@@ -187,9 +193,9 @@
         return body;
     }
 
-    json encodeTxnReply(const store_txn& txn, const store_txn_reply& reply)
+    json encodeTxnReply(const store_txn& txn, const store_txn_reply& reply, store_era cluster)
     {
-        json body { { "header", header(reply.head) }, { "responses", json::array() } };
+        json body { { "header", header(reply.head, cluster) }, { "responses", json::array() } };
         if (reply.succeeded) {
             body["succeeded"] = true;
             for (const store_write& write : txn.writes) {
@@ -205,17 +211,18 @@
                     range.entries.push_back(entry);
                 }
             }
-            body["responses"].push_back({ { "response_range", encodeGetReply(range) } });
+            body["responses"].push_back({ { "response_range", encodeGetReply(range, cluster) } });
         }
         return body;
     }
 
-    json encodeLeaseReply(const store_operation& operation, const store_lease_reply& reply)
+    json encodeLeaseReply(const store_operation& operation, const store_lease_reply& reply, store_era cluster)
     {
+        const json replyHeader { { "cluster_id", std::to_string(cluster) } };
         if (std::holds_alternative<store_lease_revoke>(operation)) {
-            return { { "header", json::object() } };
+            return { { "header", replyHeader } };
         }
-        json body { { "ID", std::to_string(reply.lease) } };
+        json body { { "header", replyHeader }, { "ID", std::to_string(reply.lease) } };
         if (reply.timeToLive.count() != 0) {
             body["TTL"] = std::to_string(reply.timeToLive.count());
         }
@@ -234,18 +241,18 @@
     return parseJson(body, [&](const json& document) { return parseBody(path, document); });
 }
 
-std::string encodeReply(const store_operation& operation, const store_reply& reply)
+std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era cluster)
 {
     if (const auto* get = std::get_if<store_get_reply>(&reply)) {
-        return toText(encodeGetReply(*get));
+        return toText(encodeGetReply(*get, cluster));
     }
     if (const auto* txn = std::get_if<store_txn_reply>(&reply)) {
-        return toText(encodeTxnReply(std::get<store_txn>(operation), *txn));
+        return toText(encodeTxnReply(std::get<store_txn>(operation), *txn, cluster));
     }
-    return toText(encodeLeaseReply(operation, std::get<store_lease_reply>(reply)));
+    return toText(encodeLeaseReply(operation, std::get<store_lease_reply>(reply), cluster));
 }
 
-result<store_reply> parseReply(const store_operation& operation, const std::string& body)
+result<gateway_reply> parseReply(const store_operation& operation, const std::string& body)
 {
     return parseJson(body, [&](const json& document) { return parseBody(operation, document); });
 }
--- a/src/libstore/gateway.h
+++ b/src/libstore/gateway.h
@@ -19,6 +19,7 @@
 /// One object of a watch stream.
 struct gateway_watch_message {
     std::optional<store_watch_event> event;
+    std::string cluster; ///< identifier in its header; empty: none
     store_revision head = 0;
     bool created = false;
     bool cancelled = false;
@@ -34,15 +35,20 @@
 /// Parses the body of a request to one of the paths of store_operation.
 result<store_operation> parseRequest(const std::string& path, const std::string& body);
 
-std::string encodeReply(const store_operation& operation, const store_reply& reply);
-result<store_reply> parseReply(const store_operation& operation, const std::string& body);
+/// A reply with the identifier of the cluster in its header; empty: none.
+struct gateway_reply {
+    store_reply content;
+    std::string cluster;
+};
+std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era cluster);
+result<gateway_reply> parseReply(const store_operation& operation, const std::string& body);
 
 std::string encodeWatch(const gateway_watch& watch);
 result<gateway_watch> parseWatch(const std::string& body);
 
 /// Returns one line of a watch stream.
-std::string encodeWatchEvent(const store_watch_event& event, store_revision head);
-std::string encodeWatchNotice(gateway_notice notice, store_revision head);
+std::string encodeWatchEvent(const store_watch_event& event, const store_position& head);
+std::string encodeWatchNotice(gateway_notice notice, const store_position& head);
 result<gateway_watch_message> parseWatchMessage(const std::string& line);
 
 /// Body and HTTP status of an error.
--- a/src/libstore/gateway_json.cpp
+++ b/src/libstore/gateway_json.cpp
@@ -121,7 +121,17 @@
         integer(entry, "lease") };
 }
 
-json header(store_revision head) { return { { "revision", std::to_string(head) } }; }
+json header(store_revision head, store_era cluster)
+{
+    return { { "cluster_id", std::to_string(cluster) }, { "revision", std::to_string(head) } };
+}
+
+std::string parseCluster(const json& reply)
+{
+    const json* const found = member(reply, "header");
+    const json* const cluster = found == nullptr ? nullptr : member(*found, "cluster_id", "clusterId");
+    return cluster != nullptr && cluster->is_string() ? cluster->get<std::string>() : std::string();
+}
 
 store_revision parseHead(const json& reply)
 {
--- a/src/libstore/gateway_watch.cpp
+++ b/src/libstore/gateway_watch.cpp
@@ -50,9 +50,9 @@
     });
 }
 
-std::string encodeWatchEvent(const store_watch_event& event, store_revision head)
+std::string encodeWatchEvent(const store_watch_event& event, const store_position& head)
 {
-    json body { { "header", header(head) } };
+    json body { { "header", header(head.revision, head.era) } };
     if (const auto* changes = std::get_if<store_changes>(&event)) {
         body["events"] = json::array();
         for (const store_change& change : changes->changes) {
@@ -71,9 +71,9 @@
     return toText({ { "result", body } }) + "\n";
 }
 
-std::string encodeWatchNotice(gateway_notice notice, store_revision head)
+std::string encodeWatchNotice(gateway_notice notice, const store_position& head)
 {
-    json body { { "header", header(head) } };
+    json body { { "header", header(head.revision, head.era) } };
     if (notice == gateway_notice::created) {
         body["created"] = true;
     }
@@ -89,6 +89,7 @@
             return gateway_watch_message { .cancelled = true };
         }
         gateway_watch_message message {
+            .cluster = parseCluster(*body),
             .head = parseHead(*body),
             .created = body->value("created", false),
             .cancelled = body->value("canceled", false),
--- a/src/libstore/http_store.cpp
+++ b/src/libstore/http_store.cpp
@@ -49,6 +49,7 @@
     struct watch_state {
         store_watch_id id = 0;
         gateway_watch request;
+        store_era era = 0; ///< of request.from; 0: not known yet
         store_watch_callback callback;
         watch_attempt* current = nullptr;
     };
@@ -74,11 +75,14 @@
         std::unordered_set<http_call*> calls;
         std::unordered_set<watch_attempt*> attempts;
         std::map<store_watch_id, std::shared_ptr<watch_state>> watches;
+        std::map<std::string, store_era>
+            eras; ///< by the identifier of the cluster, in the order of their first replies
         store_watch_id nextWatch = 1;
         bool closed = false;
 
+        store_era eraOf(const std::string& cluster);
         void call(store_operation operation, duration timeout, store_callback callback);
-        store_watch_id watch(std::string prefix, store_revision from, store_watch_callback callback);
+        store_watch_id watch(std::string prefix, store_position from, store_watch_callback callback);
         void unwatch(store_watch_id id);
         void open(const std::shared_ptr<watch_state>& watch);
         void end(watch_attempt& attempt, const store_watch_event& event);
@@ -93,7 +97,7 @@
         return timer;
     }
 
-    result<store_reply> readReply(const http_call& call, GBytes* body, GError* failure)
+    result<gateway_reply> readReply(const http_call& call, GBytes* body, GError* failure)
     {
         if (failure != nullptr) {
             const std::string text = std::string("the request to the store failed: ") + takeMessage(failure);
@@ -125,9 +129,12 @@
         call->timer.reset();
         call->client->calls.erase(call.get());
         auto reply = readReply(*call, body, failure);
-        if (!call->client->closed) {
-            call->callback(std::move(reply));
+        http_client& client = *call->client;
+        if (client.closed) {
+            return;
         }
+        const store_era era = reply ? client.eraOf(reply->cluster) : 0;
+        call->callback(std::move(reply).map([](gateway_reply each) { return std::move(each.content); }), era);
     }
 
     void onStarting(SoupMessage* /*message*/, gpointer data) { static_cast<http_call*>(data)->sent = true; }
@@ -138,6 +145,12 @@
         return G_SOURCE_REMOVE;
     }
 
+    /// Identifiers of clusters have no order, so they are numbered as they are met.
+    store_era http_client::eraOf(const std::string& cluster)
+    {
+        return cluster.empty() ? 0 : eras.emplace(cluster, eras.size() + 1).first->second;
+    }
+
     void http_client::call(store_operation operation, duration timeout, store_callback callback)
     {
         const context_scope scope(context);
@@ -209,6 +222,14 @@
             return;
         }
         attempt->created = true;
+        store_era& era = attempt->watch->era;
+        const store_era current = attempt->client->eraOf(message->cluster);
+        if (era == 0) {
+            era = current;
+        } else if (current != 0 && current != era) {
+            attempt->client->end(*attempt, restoredWhileWatched(current));
+            return;
+        }
         if (message->created && request.from == 0) {
             request.from = message->head + 1;
         }
@@ -220,9 +241,11 @@
             return;
         }
         if (message->event) {
-            request.from = std::get<store_changes>(*message->event).revision + 1;
+            auto changes = std::get<store_changes>(*message->event);
+            changes.era = current;
+            request.from = changes.revision + 1;
             const store_watch_callback callback = attempt->watch->callback;
-            callback(*message->event);
+            callback(changes);
         }
     }
 
@@ -303,11 +326,12 @@
             onWatchOpen, attempt);
     }
 
-    store_watch_id http_client::watch(std::string prefix, store_revision from, store_watch_callback callback)
+    store_watch_id http_client::watch(std::string prefix, store_position from, store_watch_callback callback)
     {
         auto watch = std::make_shared<watch_state>();
         watch->id = nextWatch++;
-        watch->request = { std::move(prefix), from };
+        watch->request = { std::move(prefix), from.revision };
+        watch->era = from.era;
         watch->callback = std::move(callback);
         watches[watch->id] = watch;
         open(watch);
@@ -382,7 +406,7 @@
         .call = [client](store_operation operation, duration timeout,
                     store_callback callback) { client->call(std::move(operation), timeout, std::move(callback)); },
         .watch
-        = [client](std::string prefix, store_revision from,
+        = [client](std::string prefix, store_position from,
               store_watch_callback callback) { return client->watch(std::move(prefix), from, std::move(callback)); },
         .unwatch = [client](store_watch_id id) { client->unwatch(id); },
     };
--- a/src/libstore/store_contract_test.cpp
+++ b/src/libstore/store_contract_test.cpp
@@ -16,7 +16,7 @@
         void start(store_rig& rig, const std::string& prefix, store_revision from)
         {
             next = from;
-            id = rig.port().watch(prefix, from, [this](const store_watch_event& event) {
+            id = rig.port().watch(prefix, { from }, [this](const store_watch_event& event) {
                 if (const auto* changes = std::get_if<store_changes>(&event)) {
                     for (const store_change& change : changes->changes) {
                         seen.push_back((change.erased ? "-" : "+") + change.entry.key + change.entry.value);
--- a/src/libstore/store_http_test.cpp
+++ b/src/libstore/store_http_test.cpp
@@ -46,7 +46,7 @@
         const auto client = connect();
         m_server.reset();
         std::optional<result<store_reply>> outcome;
-        client->port().call(m_put, 10s, [&](result<store_reply> reply) { outcome = std::move(reply); });
+        client->port().call(m_put, 10s, [&](result<store_reply> reply, store_era) { outcome = std::move(reply); });
         ASSERT_TRUE(waitUntil([&] { return outcome.has_value(); }));
         EXPECT_EQ(outcome->error().kind, error_kind::unavailable);
     }
@@ -57,7 +57,7 @@
     {
         const auto client = connect(20ms);
         std::vector<std::string> seen;
-        client->port().watch("w/", m_server->state().head() + 1, [&](const store_watch_event& event) {
+        client->port().watch("w/", { m_server->state().head() + 1 }, [&](const store_watch_event& event) {
             const auto* changes = std::get_if<store_changes>(&event);
             seen.push_back(changes == nullptr ? "ended" : changes->changes.front().entry.value);
         });
@@ -77,8 +77,8 @@
         auto client = connect();
         m_server->inject({ .fault = store_fault::slow, .amount = 1h });
         bool isCalled = false;
-        client->port().call(m_put, 1h, [&](const result<store_reply>&) { isCalled = true; });
-        client->port().watch("w/", 0, [&](const store_watch_event&) { isCalled = true; });
+        client->port().call(m_put, 1h, [&](const result<store_reply>&, store_era) { isCalled = true; });
+        client->port().watch("w/", { 0 }, [&](const store_watch_event&) { isCalled = true; });
         ASSERT_TRUE(waitUntil([&] { return m_server->counters().writes == 1 && m_server->counters().watches == 1; }));
         client.reset();
         EXPECT_FALSE(isCalled);
@@ -95,22 +95,24 @@
             = R"({"key":"Zm9v","create_revision":"2","mod_revision":"13","version":"4","value":"YmFy"})";
         const auto range = parseReply(store_get { "foo" }, "{" + header + R"(,"kvs":[)" + kv + R"(],"count":"1"})");
         ASSERT_TRUE(range);
-        const auto& entries = std::get<store_get_reply>(*range).entries;
+        const auto& entries = std::get<store_get_reply>(range->content).entries;
         ASSERT_EQ(entries.size(), 1U);
         EXPECT_EQ(entries[0].key + entries[0].value, "foobar");
         EXPECT_EQ(entries[0].modRevision, 13);
-        EXPECT_EQ(std::get<store_get_reply>(*range).head, 15);
+        EXPECT_EQ(std::get<store_get_reply>(range->content).head, 15);
+        EXPECT_EQ(range->cluster, "12585971608760269493");
 
         const auto lost = parseReply(store_txn {},
             "{" + header + R"(,"responses":[{"response_range":{)" + header + R"(,"kvs":[)" + kv + "]}}]}");
         ASSERT_TRUE(lost);
-        EXPECT_FALSE(std::get<store_txn_reply>(*lost).succeeded);
-        EXPECT_EQ(std::get<store_txn_reply>(*lost).current.size(), 1U);
+        EXPECT_FALSE(std::get<store_txn_reply>(lost->content).succeeded);
+        EXPECT_EQ(std::get<store_txn_reply>(lost->content).current.size(), 1U);
 
         const auto alive = parseReply(
             store_lease_keep_alive { 7 }, R"({"result":{)" + header + R"(,"ID":"7587862072907233037","TTL":"60"}})");
         ASSERT_TRUE(alive);
-        EXPECT_EQ(std::get<store_lease_reply>(*alive).lease, 7587862072907233037);
+        EXPECT_EQ(std::get<store_lease_reply>(alive->content).lease, 7587862072907233037);
+        EXPECT_EQ(alive->cluster, range->cluster);
 
         const auto created = parseWatchMessage(R"({"result":{)" + header + R"(,"created":true}})");
         EXPECT_TRUE(created && created->created && !created->event);
--- a/src/libstore/store_rig_test.cpp
+++ b/src/libstore/store_rig_test.cpp
@@ -7,7 +7,7 @@
 result<store_reply> store_rig::run(const store_operation& operation, duration timeout)
 {
     std::optional<result<store_reply>> outcome;
-    port().call(operation, timeout, [&](result<store_reply> reply) { outcome = std::move(reply); });
+    port().call(operation, timeout, [&](result<store_reply> reply, store_era) { outcome = std::move(reply); });
     EXPECT_TRUE(waitUntil([&] { return outcome.has_value(); })) << "the callback did not run";
     return outcome.value_or(fail(error_kind::internal, "no callback"));
 }
--- a/src/libstore/store_server.cpp
+++ b/src/libstore/store_server.cpp
@@ -26,6 +26,7 @@
     GMainContext* context = nullptr;
     gsource_ptr ticker;
     store_state state;
+    store_state copy;
     store_fault_state faults;
     store_counters counters;
     std::list<watch_stream> watches;
@@ -33,6 +34,7 @@
     int ticks = 0;
 
     time_point now() const { return time_point(duration(g_get_monotonic_time())) + faults.clockOffset; }
+    store_position headPosition() const { return { state.head(), state.era() }; }
     void handle(SoupServerMessage* message, const std::string& path);
     void handleCall(SoupServerMessage* message, const std::string& path, const std::string& body);
     void handleWatch(SoupServerMessage* message, const std::string& body);
@@ -104,7 +106,7 @@
             return;
         }
         if (reply) {
-            respond(call.message.get(), SOUP_STATUS_OK, encodeReply(call.operation, *reply));
+            respond(call.message.get(), SOUP_STATUS_OK, encodeReply(call.operation, *reply, owner.state.era()));
         } else {
             respond(call.message.get(), reply.error());
         }
@@ -228,7 +230,7 @@
     soup_message_headers_set_content_type(headers, "application/json", nullptr);
     soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
     soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
-    send(stream, encodeWatchNotice(gateway_notice::created, state.head()));
+    send(stream, encodeWatchNotice(gateway_notice::created, headPosition()));
     deliverWatches();
 }
 
@@ -255,6 +257,7 @@
         { "failed", counters.failed },
         { "open_watches", watches.size() },
         { "head", state.head() },
+        { "era", state.era() },
     };
     respond(message, SOUP_STATUS_OK, body.dump());
 }
@@ -283,7 +286,7 @@
             ++stream;
             continue;
         }
-        send(*stream, encodeWatchEvent(*event, state.head()));
+        send(*stream, encodeWatchEvent(*event, headPosition()));
         if (const auto* changes = std::get_if<store_changes>(&*event)) {
             stream->request.from = changes->revision + 1;
             ++stream;
@@ -309,6 +312,12 @@
     if (injection.fault == store_fault::compaction) {
         state.compact(state.head());
     }
+    if (injection.fault == store_fault::copy) {
+        copy = state;
+    }
+    if (injection.fault == store_fault::restore) {
+        state.restore(copy);
+    }
     tick();
 }
 
@@ -320,7 +329,7 @@
     if (++ticks % ticksPerProgress == 0 && !faults.watchesHeld) {
         for (watch_stream& stream : watches) {
             if (!stream.finished) {
-                send(stream, encodeWatchNotice(gateway_notice::progress, state.head()));
+                send(stream, encodeWatchNotice(gateway_notice::progress, headPosition()));
             }
         }
     }
--- a/src/libstore/store_state.cpp
+++ b/src/libstore/store_state.cpp
@@ -175,9 +175,9 @@
 std::optional<store_watch_event> store_state::changesSince(const std::string& prefix, store_revision from) const
 {
     if (from <= m_compacted) {
-        return store_compacted { m_compacted + 1 };
+        return store_compacted { m_compacted + 1, m_era };
     }
-    store_changes seen;
+    store_changes seen { .era = m_era };
     const auto first = std::lower_bound(m_history.begin(), m_history.end(), from,
         [](const store_change& change, store_revision revision) { return change.entry.modRevision < revision; });
     for (auto at = first; at != m_history.end(); ++at) {
@@ -200,6 +200,13 @@
     }
 }
 
+void store_state::restore(const store_state& copy)
+{
+    const auto era = m_era + 1;
+    *this = copy;
+    m_era = era;
+}
+
 void store_state::trim()
 {
     const auto kept = static_cast<store_revision>(m_keptRevisions);
--- a/src/limpetctl/limpetctl_test.cpp
+++ b/src/limpetctl/limpetctl_test.cpp
@@ -77,7 +77,8 @@
         const configuration first = current();
         ASSERT_EQ(apply(rulesB).exitCode, exitDone);
         result<store_reply> reply;
-        m_store.port().call(store_get { deltaKey(2) }, 1s, [&](result<store_reply> got) { reply = std::move(got); });
+        m_store.port().call(
+            store_get { deltaKey(2) }, 1s, [&](result<store_reply> got, store_era) { reply = std::move(got); });
         pass(1s);
         const auto& entries = std::get<store_get_reply>(*reply).entries;
         ASSERT_EQ(entries.size(), 1U);
