--- a/src/libmesh/configuration_source.cpp
+++ b/src/libmesh/configuration_source.cpp
@@ -20,6 +20,8 @@
     constexpr duration readStagger = std::chrono::milliseconds(900);
     // A node that has started hears from its zone in this time after it knows the addresses there.
     constexpr duration introductionTime = std::chrono::milliseconds(100);
+    // A node that has started gets the configuration that others hold within this time, or they do not have it.
+    constexpr duration maxWithheldTime = std::chrono::seconds(10);
     // A node that cannot list the other nodes after its start goes on without.
     constexpr duration maxListTime = std::chrono::milliseconds(1500);
 
@@ -166,14 +168,58 @@
 
 void node::state::applyConfiguration(configuration_received received, time_point now, actions& out)
 {
-    const auto held = heldVersion();
     const auto version = received.content->content().version;
-    if (version <= held)
+    if (version <= heldVersion())
+        return;
+    // Once this node has served by a configuration, a newer one is better than the one in force, even if not the
+    // newest.
+    if (heldVersion() == 0 && newerIsHeld(version, now)) {
+        withhold(std::move(received), now, out);
         return;
+    }
+    putInForce(std::move(received), now, out);
+}
+
+/// Whether a live node holds a newer configuration than that.
+bool node::state::newerIsHeld(std::uint64_t version, time_point now) const
+{
+    return std::any_of(peers.begin(), peers.end(),
+        [&](const auto& each) { return each.second.configurationVersion > version && isLive(each.second, now); });
+}
+
+/// Keeps a configuration that this node must not serve by while others hold a newer one.
+void node::state::withhold(configuration_received received, time_point now, actions& out)
+{
+    log(out, "configuration_withheld",
+        { { "version", std::to_string(received.content->content().version) },
+            { "newest", std::to_string(newestVersion) } });
+    if (!withheld)
+        withheldSince = now;
+    withheld = std::move(received);
+    nextPullAt = now;
+}
+
+/// Puts the configuration that was kept in force when no live node holds a newer one any more, or none sends it.
+void node::state::releaseWithheld(time_point now, actions& out)
+{
+    if (!withheld)
+        return;
+    if (newerIsHeld(withheld->content->content().version, now) && now - withheldSince < maxWithheldTime)
+        return;
+    auto kept = std::move(*withheld);
+    withheld.reset();
+    putInForce(std::move(kept), now, out);
+}
+
+void node::state::putInForce(configuration_received received, time_point now, actions& out)
+{
+    const auto held = heldVersion();
+    const auto version = received.content->content().version;
     log(out, "configuration",
         { { "version", std::to_string(version) }, { "before", std::to_string(held) },
             { "routes", std::to_string(received.content->content().routes.size()) },
             { "teams", std::to_string(received.content->content().teams.size()) } });
+    withheld.reset();
     config = std::move(received.content);
     document = std::move(received.document);
     newestVersion = std::max(newestVersion, version);
--- a/src/libmesh/mesh_configuration_source_test.cpp
+++ b/src/libmesh/mesh_configuration_source_test.cpp
@@ -73,8 +73,8 @@
 }
 
 /// A node that has just started and knows nobody.
-struct started_node : node_fixture {
-    started_node() { advance(1ms); }
+struct lone_node : node_fixture {
+    lone_node() { advance(1ms); }
 
     /// Lists a node of that zone, as found before the own entry was written.
     void listEarly(const std::string& zone)
@@ -90,7 +90,7 @@
 
 TEST(configuration_source, isTheStoreSoonAfterNodesOfTheZoneWereListed)
 {
-    started_node node;
+    lone_node node;
     node.listEarly("north-a");
     EXPECT_FALSE(node.subject.readsConfiguration(node.now));
     EXPECT_TRUE(node.readsConfigurationSoon());
@@ -99,7 +99,7 @@
 // An early list may lack all nodes of the zone.
 TEST(configuration_source, isNotTheStoreSoonAfterAnEarlyListWithoutTheZone)
 {
-    started_node node;
+    lone_node node;
     node.listEarly("north-b");
     EXPECT_FALSE(node.readsConfigurationSoon());
     node.handle(nodes_listed {});
@@ -149,4 +149,65 @@
     EXPECT_FALSE(node.readsConfiguration());
 }
 
+/// A node that has just started, whose peers hold version 2.
+struct node_among_newer : node_with_peers {
+    node_among_newer()
+        : node_with_peers("stock")
+    {
+        subject = node(makeOptions("a", "none"));
+        configurationVersion = 2;
+        refreshPeers();
+        out.clear();
+    }
+};
+
+// The store had been restored from a copy; a node that started then served by the older version that it read there.
+TEST(started_node, doesNotServeByAnOlderConfigurationThanOthersHold)
+{
+    node_among_newer node;
+    node.configure(sampleConfiguration(1));
+    node.advance(1ms);
+    EXPECT_FALSE(node.subject.ready());
+    EXPECT_EQ(node.statusOf(node.request()), 503);
+    EXPECT_EQ(node.pulls(), 1U);
+    node.configure(sampleConfiguration(2));
+    EXPECT_TRUE(node.subject.ready());
+    EXPECT_EQ(node.subject.configurationVersion(), 2U);
+}
+
+TEST(started_node, servesByTheConfigurationOfTheStoreWhenTheOthersHaveGone)
+{
+    node_among_newer node;
+    node.configure(sampleConfiguration(1));
+    node.advance(1s);
+    EXPECT_FALSE(node.subject.ready());
+    node.advance(1s);
+    EXPECT_TRUE(node.subject.ready());
+}
+
+// A status may name a version that nobody has.
+TEST(started_node, doesNotWaitForANewerConfigurationWithoutEnd)
+{
+    node_among_newer node;
+    node.configure(sampleConfiguration(1));
+    for (int number = 0; number < 19; ++number) {
+        node.refreshPeers();
+        node.advance(500ms);
+        EXPECT_FALSE(node.subject.ready());
+    }
+    node.refreshPeers();
+    node.advance(600ms);
+    EXPECT_TRUE(node.subject.ready());
+}
+
+// Only a start is held up: a node that serves goes on while it gets a newer version.
+TEST(running_node, servesOnWhileOthersHoldANewerConfiguration)
+{
+    node_with_peers node("stock");
+    node.configurationVersion = 2;
+    node.refreshPeers();
+    node.advance(1ms);
+    EXPECT_TRUE(node.subject.ready());
+}
+
 } // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -116,6 +116,7 @@
     retries.setNodeCount(peers.size() + 1);
     checkCandidate(now, out);
     expirePeers(now, out);
+    releaseWithheld(now, out);
     pullConfiguration(now, out);
     sendOwnStatus(now, out);
     sendBundles(now, out);
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -331,6 +331,10 @@
     time_point nextPullAt {};
     std::optional<socket_address> pullInFlight; ///< node that was asked and has not replied
     time_point pullTimeoutAt {}; ///< of pullInFlight
+    /// Read from the store by a node that has none yet, while others hold a newer one: the store was restored from a
+    /// copy.
+    std::optional<configuration_received> withheld;
+    time_point withheldSince {};
 
     std::uint64_t heldVersion() const { return config ? config->content().version : 0; }
     void pullConfiguration(time_point now, actions& out);
@@ -346,6 +350,10 @@
     bool fetchesForZone(time_point now) const;
     time_point nextConfigurationTimer() const;
     void applyConfiguration(configuration_received received, time_point now, actions& out);
+    void putInForce(configuration_received received, time_point now, actions& out);
+    bool newerIsHeld(std::uint64_t version, time_point now) const;
+    void withhold(configuration_received received, time_point now, actions& out);
+    void releaseWithheld(time_point now, actions& out);
 
     void handle(event event, time_point now, actions& out);
     void tick(time_point now, actions& out);
