--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -253,10 +253,16 @@
 /// Identifier of a lease in the store. 0 means no lease.
 using store_lease = std::int64_t;
 
-/// Number of the incarnation of a store. It rises when the store is restored from a copy: what was written since the
+/// Number of the incarnation of a store. It changes when the store is restored from a copy: what was written since the
 /// copy is gone, and the revisions and leases given out since then are given out again. 0 means unknown.
 using store_era = std::uint64_t;
 
+/// What tells which of two eras is the later one.
+enum class era_order : std::uint8_t {
+    rising, ///< the later one is higher
+    firstSeen, ///< the later one was met later, as with the identifiers of clusters
+};
+
 /// A revision, and the era in which it was given out. It means nothing to the store in another era.
 struct store_position {
     store_revision revision = 0;
@@ -273,14 +279,21 @@
 /// Follows the era of the store from reply to reply.
 class store_era_tracker {
 public:
-    /// Compares the era of a reply with the highest one so far. The first known era is no change.
+    explicit store_era_tracker(era_order order = era_order::rising)
+        : m_order(order)
+    {
+    }
+    /// Compares the era of a reply with the latest one so far. The first known era is no change.
     era_change observe(store_era era);
     store_era current() const { return m_current; }
-    std::uint64_t rises() const { return m_rises; }
+    std::uint64_t rises() const { return m_past.size(); }
 
 private:
+    bool isOutdated(store_era era) const;
+
+    era_order m_order;
     store_era m_current = 0;
-    std::uint64_t m_rises = 0;
+    std::vector<store_era> m_past; ///< those before the current one
 };
 
 /// A key and its value as read from the store.
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -71,3 +71,14 @@
     EXPECT_EQ(tracker.current(), 9U);
     EXPECT_EQ(tracker.rises(), 2U);
 }
+
+// Guards against an identifier of a cluster that is taken for older because it is lower.
+TEST(store_era_tracker, ordersIdentifiersByTheirFirstReply)
+{
+    store_era_tracker tracker(era_order::firstSeen);
+    EXPECT_EQ(tracker.observe(12585971608760269493U), era_change::none);
+    EXPECT_EQ(tracker.observe(7), era_change::risen);
+    EXPECT_EQ(tracker.observe(12585971608760269493U), era_change::outdated);
+    EXPECT_EQ(tracker.observe(9), era_change::risen);
+    EXPECT_EQ(tracker.observe(7), era_change::outdated);
+}
--- a/src/libfleet/fleet_impl.h
+++ b/src/libfleet/fleet_impl.h
@@ -213,7 +213,7 @@
     // store
     std::uint64_t m_token = 0;
     std::map<std::uint64_t, store_request> m_requests;
-    store_era_tracker m_storeEra;
+    store_era_tracker m_storeEra { era_order::firstSeen };
     store_revision m_storeRevision = 0; ///< of the configuration that was read last, in the current era
     revision m_storeNumber = 0; ///< its revision; 0: none was read
     time_point m_nextAttest = time_point::max();
--- a/src/libledger/claims.cpp
+++ b/src/libledger/claims.cpp
@@ -61,7 +61,7 @@
     std::map<std::uint64_t, pending_call> pendingCalls;
     std::map<node_id, incarnation> owners; ///< current incarnations of the live nodes
     std::uint64_t nextCall = 1;
-    store_era_tracker storeEra;
+    store_era_tracker storeEra { era_order::firstSeen };
     store_lease lease = 0;
     time_point leaseReuseEnd; ///< claims made from then on need a new lease
     bool leaseCallPending = false;
--- a/src/libquota/authority.cpp
+++ b/src/libquota/authority.cpp
@@ -76,7 +76,10 @@
 }
 
 /// Whether the record was written before the store was restored from a copy.
-bool shard_authority::recordIsFromCopy() const { return m_recordRevision != 0 && m_record.era < m_era; }
+bool shard_authority::recordIsFromCopy() const
+{
+    return m_recordRevision != 0 && m_record.era != 0 && m_record.era != m_era;
+}
 
 /// Whether this node had authority when the store was restored, and no other node can have taken it over since.
 bool shard_authority::regainsAuthority() const
--- a/src/libquota/state.h
+++ b/src/libquota/state.h
@@ -152,7 +152,7 @@
     std::unordered_map<node_id, incarnation> runs; ///< latest known run of each node
 
     std::vector<shard_authority> shards; ///< of this node's region
-    store_era_tracker storeEra;
+    store_era_tracker storeEra { era_order::firstSeen };
     node_lease lease;
     time_point nextLeaseCall;
     bool leaseCallPending = false;
--- a/src/libstore/gateway.cpp
+++ b/src/libstore/gateway.cpp
@@ -180,12 +180,12 @@
         const bool isStream = std::holds_alternative<store_lease_keep_alive>(operation);
         const json* const wrapped = isStream ? member(body, "result") : nullptr;
         const json& reply = wrapped == nullptr ? body : *wrapped;
-        return { parseContent(operation, reply), parseCluster(reply) };
+        return { parseContent(operation, reply), parseEra(reply) };
     }
 
-    json encodeGetReply(const store_get_reply& reply, store_era cluster)
+    json encodeGetReply(const store_get_reply& reply, store_era era)
     {
-        json body { { "header", header(reply.head, cluster) } };
+        json body { { "header", header(reply.head, era) } };
         if (!reply.entries.empty()) {
             body["kvs"] = encodeEntries(reply.entries);
             body["count"] = std::to_string(reply.entries.size());
@@ -193,9 +193,9 @@
         return body;
     }
 
-    json encodeTxnReply(const store_txn& txn, const store_txn_reply& reply, store_era cluster)
+    json encodeTxnReply(const store_txn& txn, const store_txn_reply& reply, store_era era)
     {
-        json body { { "header", header(reply.head, cluster) }, { "responses", json::array() } };
+        json body { { "header", header(reply.head, era) }, { "responses", json::array() } };
         if (reply.succeeded) {
             body["succeeded"] = true;
             for (const store_write& write : txn.writes) {
@@ -211,14 +211,14 @@
                     range.entries.push_back(entry);
                 }
             }
-            body["responses"].push_back({ { "response_range", encodeGetReply(range, cluster) } });
+            body["responses"].push_back({ { "response_range", encodeGetReply(range, era) } });
         }
         return body;
     }
 
-    json encodeLeaseReply(const store_operation& operation, const store_lease_reply& reply, store_era cluster)
+    json encodeLeaseReply(const store_operation& operation, const store_lease_reply& reply, store_era era)
     {
-        const json replyHeader { { "cluster_id", std::to_string(cluster) } };
+        const json replyHeader { { "cluster_id", std::to_string(era) } };
         if (std::holds_alternative<store_lease_revoke>(operation)) {
             return { { "header", replyHeader } };
         }
@@ -241,15 +241,15 @@
     return parseJson(body, [&](const json& document) { return parseBody(path, document); });
 }
 
-std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era cluster)
+std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era era)
 {
     if (const auto* get = std::get_if<store_get_reply>(&reply)) {
-        return toText(encodeGetReply(*get, cluster));
+        return toText(encodeGetReply(*get, era));
     }
     if (const auto* txn = std::get_if<store_txn_reply>(&reply)) {
-        return toText(encodeTxnReply(std::get<store_txn>(operation), *txn, cluster));
+        return toText(encodeTxnReply(std::get<store_txn>(operation), *txn, era));
     }
-    return toText(encodeLeaseReply(operation, std::get<store_lease_reply>(reply), cluster));
+    return toText(encodeLeaseReply(operation, std::get<store_lease_reply>(reply), era));
 }
 
 result<gateway_reply> parseReply(const store_operation& operation, const std::string& body)
--- a/src/libstore/gateway.h
+++ b/src/libstore/gateway.h
@@ -19,7 +19,7 @@
 /// One object of a watch stream.
 struct gateway_watch_message {
     std::optional<store_watch_event> event;
-    std::string cluster; ///< identifier in its header; empty: none
+    store_era era = 0; ///< identifier of the cluster in its header
     store_revision head = 0;
     bool created = false;
     bool cancelled = false;
@@ -35,12 +35,12 @@
 /// Parses the body of a request to one of the paths of store_operation.
 result<store_operation> parseRequest(const std::string& path, const std::string& body);
 
-/// A reply with the identifier of the cluster in its header; empty: none.
+/// A reply, and the era, which is the identifier of the cluster in its header: a restore from a snapshot changes it.
 struct gateway_reply {
     store_reply content;
-    std::string cluster;
+    store_era era = 0;
 };
-std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era cluster);
+std::string encodeReply(const store_operation& operation, const store_reply& reply, store_era era);
 result<gateway_reply> parseReply(const store_operation& operation, const std::string& body);
 
 std::string encodeWatch(const gateway_watch& watch);
--- a/src/libstore/gateway_json.cpp
+++ b/src/libstore/gateway_json.cpp
@@ -121,16 +121,23 @@
         integer(entry, "lease") };
 }
 
-json header(store_revision head, store_era cluster)
+json header(store_revision head, store_era era)
 {
-    return { { "cluster_id", std::to_string(cluster) }, { "revision", std::to_string(head) } };
+    return { { "cluster_id", std::to_string(era) }, { "revision", std::to_string(head) } };
 }
 
-std::string parseCluster(const json& reply)
+store_era parseEra(const json& reply)
 {
     const json* const found = member(reply, "header");
     const json* const cluster = found == nullptr ? nullptr : member(*found, "cluster_id", "clusterId");
-    return cluster != nullptr && cluster->is_string() ? cluster->get<std::string>() : std::string();
+    if (cluster == nullptr || !cluster->is_string()) {
+        return 0;
+    }
+    const auto& text = cluster->get_ref<const std::string&>();
+    const char* const end = text.data() + text.size();
+    store_era era = 0;
+    const auto parsed = std::from_chars(text.data(), end, era);
+    return parsed.ec == std::errc() && parsed.ptr == end ? era : 0;
 }
 
 store_revision parseHead(const json& reply)
--- a/src/libstore/gateway_json.h
+++ b/src/libstore/gateway_json.h
@@ -22,11 +22,10 @@
 store_get parseRange(const json& range);
 json encodeEntry(const store_entry& entry);
 store_entry parseEntry(const json& entry);
-/// cluster: of etcd, which a restore from a snapshot changes. The stand-in numbers it by the era.
-json header(store_revision head, store_era cluster);
+json header(store_revision head, store_era era);
 store_revision parseHead(const json& reply);
-/// Returns the identifier of the cluster, or no text if the reply has none.
-std::string parseCluster(const json& reply);
+/// Returns the identifier of the cluster; 0 if the reply has none that can be read.
+store_era parseEra(const json& reply);
 
 /// Runs a parser and turns what the JSON library throws into an error.
 template <typename Parser> auto parseJson(const std::string& text, Parser parser) -> result<decltype(parser(json()))>
--- a/src/libstore/gateway_watch.cpp
+++ b/src/libstore/gateway_watch.cpp
@@ -89,7 +89,7 @@
             return gateway_watch_message { .cancelled = true };
         }
         gateway_watch_message message {
-            .cluster = parseCluster(*body),
+            .era = parseEra(*body),
             .head = parseHead(*body),
             .created = body->value("created", false),
             .cancelled = body->value("canceled", false),
--- a/src/libstore/http_store.cpp
+++ b/src/libstore/http_store.cpp
@@ -80,7 +80,6 @@
         store_watch_id nextWatch = 1;
         bool closed = false;
 
-        store_era eraOf(const std::string& cluster);
         void call(store_operation operation, duration timeout, store_callback callback);
         store_watch_id watch(std::string prefix, store_position from, store_watch_callback callback);
         void unwatch(store_watch_id id);
@@ -133,7 +132,7 @@
         if (client.closed) {
             return;
         }
-        const store_era era = reply ? client.eraOf(reply->cluster) : 0;
+        const store_era era = reply ? reply->era : 0;
         call->callback(std::move(reply).map([](gateway_reply each) { return std::move(each.content); }), era);
     }
 
@@ -145,12 +144,6 @@
         return G_SOURCE_REMOVE;
     }
 
-    /// Identifiers of clusters have no order, so they are numbered as they are met.
-    store_era http_client::eraOf(const std::string& cluster)
-    {
-        return cluster.empty() ? 0 : eras.emplace(cluster, eras.size() + 1).first->second;
-    }
-
     void http_client::call(store_operation operation, duration timeout, store_callback callback)
     {
         const context_scope scope(context);
@@ -223,7 +216,7 @@
         }
         attempt->created = true;
         store_era& era = attempt->watch->era;
-        const store_era current = attempt->client->eraOf(message->cluster);
+        const store_era current = message->era;
         if (era == 0) {
             era = current;
         } else if (current != 0 && current != era) {
--- a/src/libstore/store_contract_test.cpp
+++ b/src/libstore/store_contract_test.cpp
@@ -16,7 +16,7 @@
         void start(store_rig& rig, const std::string& prefix, store_revision from)
         {
             next = from;
-            id = rig.port().watch(prefix, { from }, [this](const store_watch_event& event) {
+            id = rig.port().watch(prefix, { from, rig.state().era() }, [this](const store_watch_event& event) {
                 if (const auto* changes = std::get_if<store_changes>(&event)) {
                     for (const store_change& change : changes->changes) {
                         seen.push_back((change.erased ? "-" : "+") + change.entry.key + change.entry.value);
@@ -37,6 +37,15 @@
         store_watch_id id = 0;
     };
 
+    /// Returns the era that a reply carries.
+    store_era eraOf(store_rig& rig)
+    {
+        std::optional<store_era> received;
+        rig.port().call(store_get { "k" }, 10s, [&](const result<store_reply>&, store_era era) { received = era; });
+        EXPECT_TRUE(rig.waitUntil([&] { return received.has_value(); }));
+        return received.value_or(0);
+    }
+
     using words = std::vector<std::string>;
 
     store_txn_reply txnReply(const result<store_reply>& reply)
@@ -233,6 +242,23 @@
                 EXPECT_EQ(log.seen.back(), "+w/a2");
                 rig.port().unwatch(log.id);
             } },
+        { "restoredFromCopy", "a revision or a lease of the store before it was restored that is used with it",
+            [](store_rig& rig) {
+                rig.inject({ .fault = store_fault::copy });
+                const auto lease = leaseReply(rig.run(store_lease_grant { 60s })).lease;
+                ASSERT_TRUE(rig.put("w/a", "lost"));
+                const auto before = eraOf(rig);
+                watch_log log;
+                log.start(rig, "w/", rig.state().head() + 1);
+                rig.inject({ .fault = store_fault::restore });
+                EXPECT_EQ(rig.valueOf("w/a"), std::nullopt);
+                EXPECT_GT(eraOf(rig), before);
+                EXPECT_EQ(leaseReply(rig.run(store_lease_grant { 60s })).lease, lease);
+                for (const auto* value : { "1", "2", "3" })
+                    ASSERT_TRUE(rig.put("w/a", value));
+                ASSERT_TRUE(log.waitFor(rig, 1));
+                EXPECT_EQ(log.seen, words { "interrupted" });
+            } },
         { "leaseExpired", "a holder that was paused and believes that it still holds its lease",
             [](store_rig& rig) {
                 const auto lease = leaseReply(rig.run(store_lease_grant { 60s }));
--- a/src/libstore/store_http_test.cpp
+++ b/src/libstore/store_http_test.cpp
@@ -100,7 +100,7 @@
         EXPECT_EQ(entries[0].key + entries[0].value, "foobar");
         EXPECT_EQ(entries[0].modRevision, 13);
         EXPECT_EQ(std::get<store_get_reply>(range->content).head, 15);
-        EXPECT_EQ(range->cluster, "12585971608760269493");
+        EXPECT_EQ(range->era, 12585971608760269493U);
 
         const auto lost = parseReply(store_txn {},
             "{" + header + R"(,"responses":[{"response_range":{)" + header + R"(,"kvs":[)" + kv + "]}}]}");
@@ -112,7 +112,7 @@
             store_lease_keep_alive { 7 }, R"({"result":{)" + header + R"(,"ID":"7587862072907233037","TTL":"60"}})");
         ASSERT_TRUE(alive);
         EXPECT_EQ(std::get<store_lease_reply>(alive->content).lease, 7587862072907233037);
-        EXPECT_EQ(alive->cluster, range->cluster);
+        EXPECT_EQ(alive->era, range->era);
 
         const auto created = parseWatchMessage(R"({"result":{)" + header + R"(,"created":true}})");
         EXPECT_TRUE(created && created->created && !created->event);
