--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -327,6 +327,28 @@
     EXPECT_FALSE(lists.back().stale) << "nodes that were listed before may be missing from the copy, and others return";
 }
 
+// Other nodes took one whose first reply after an absence showed a restore for cut off, until its turn to register
+// came.
+TEST(registry, reachesTheStoreWhoseReplyShowsThatItWasRestored)
+{
+    mesh::registry::options options { "conf", "nodes/", "a", "10.0.0.1:7000" };
+    options.registrationOrder = 1;
+    options.registrationsPerSecond = 0.1;
+    registry_fixture fixture;
+    fixture.subject = mesh::registry { options };
+    fixture.runFor(3s);
+    fixture.store.unavailable = true;
+    fixture.runFor(4s);
+    EXPECT_FALSE(fixture.subject.storeReachable());
+    fixture.store.unavailable = false;
+    fixture.store.restore();
+    const auto grants = fixture.store.count<store_lease_grant>();
+    fixture.runFor(1s);
+    EXPECT_EQ(fixture.subject.storeRestores(), 1U);
+    EXPECT_TRUE(fixture.subject.storeReachable());
+    EXPECT_EQ(fixture.store.count<store_lease_grant>(), grants) << "its turn has not come";
+}
+
 // Several restores may follow each other before a node has registered again.
 TEST(registry, registersOnceMoreAfterEachOfSeveralRestores)
 {
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -73,16 +73,16 @@
     }
     const auto index = static_cast<std::size_t>(found - m_tasks.begin());
     const auto which = static_cast<task_kind>(index);
+    found->token = 0;
+    noteReachability(which, result.reply, now, out);
     const auto change = observeEra(result.era, taskNames.at(index), now, out);
     // This reply revealed that the store was restored, and all calls are made again.
     if (change == era_change::risen)
         return;
-    found->token = 0;
     if (change == era_change::outdated) {
         found->at = now + m_options.retryInterval;
         return;
     }
-    noteReachability(which, result.reply, now, out);
     if (result.reply)
         succeed(which, *result.reply, now, out);
     else
@@ -121,14 +121,11 @@
     }
     const auto lease = m_lease;
     startAgain(now, out);
-    const auto registerAt = taskFor(task_kind::lease).at;
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(taskFor(task_kind::lease).at - now);
     out.log.push_back({ "store_restored",
         { { "era", std::to_string(era) }, { "before", std::to_string(before) }, { "call", seenIn },
             { "dropped_lease", std::to_string(lease) }, { "reads_configuration", m_readsConfiguration ? "1" : "0" },
-            { "registers_in_ms",
-                m_leftFleet ? ""
-                            : std::to_string(
-                                std::chrono::duration_cast<std::chrono::milliseconds>(registerAt - now).count()) } } });
+            { "registers_in_ms", m_leftFleet ? "never" : std::to_string(wait.count()) } } });
     return change;
 }
 
