--- a/src/libledger/claims.cpp
+++ b/src/libledger/claims.cpp
@@ -515,7 +515,8 @@
             current.retryAt = now + retryDelay;
             continue;
         }
-        // Without a lease nothing was written for these claims, so they are dropped safely.
+        // These requests were not executed, so their claims are dropped safely. A record that was written before the
+        // store was restored stays until its lease ends.
         eraseClaim(token);
         resolve(token, claim_outcome::unavailable, actions);
     }
