Let an admission start requests at a bounded pace

A backend server that has just started bears fewer calls a second than its slots let through, and a concurrency limit cannot bound that: a fast server passes any rate with one call at a time.

admission::setPace() bounds the rate of starts by a token bucket besides the concurrency limit. What waits is ordered as before, by importance first; a request that its turn cannot reach in time is refused before it waits, with the time of its turn as Retry-After. Without a pace nothing changes.

--- a/src/include/limpetcroft/policy.h
+++ b/src/include/limpetcroft/policy.h
@@ -169,6 +169,32 @@
 
 // ---- Admission to one backend server ----
 
+/// Bound on the rate at which requests are started.
+struct start_pace {
+    double perSecond = 0; ///< above 0
+    double burst = 1; ///< requests that may start at once after a pause; at least 1
+    auto operator<=>(const start_pace&) const = default;
+};
+
+/// Token bucket over the starts of requests. It is empty at first, so that a new pace also holds together with what was
+/// started shortly before.
+class start_pacer {
+public:
+    start_pacer(const start_pace& pace, time_point now);
+    const start_pace& pace() const { return m_pace; }
+    void setPace(const start_pace& pace, time_point now);
+    /// Time at which the next request may start; may have passed.
+    time_point nextStart() const;
+    void countStart(time_point now);
+
+private:
+    double tokensAt(time_point now) const;
+
+    start_pace m_pace;
+    double m_tokens = 0; ///< at m_updatedAt
+    time_point m_updatedAt {};
+};
+
 /// Which requests are shed: those with a priority below `lowestAdmitted` are refused, those of that priority are
 /// admitted in part, and those above are admitted.
 struct shed_level {
@@ -245,6 +271,9 @@
     std::optional<time_point> nextTimer() const;
 
     void announceSlots(unsigned slots);
+    /// Bounds the rate at which requests are started, besides the concurrency limit; none: no bound. Queued requests
+    /// that may start now do so at the next expire().
+    void setPace(const std::optional<start_pace>& pace, time_point now);
     /// Refuses new requests as draining from now on; queued and running requests finish.
     void drain();
     bool draining() const;
@@ -296,6 +325,9 @@
     };
 
     std::size_t queueCapacity() const;
+    bool mayStart(time_point now) const;
+    duration pacedWait(std::size_t ahead, time_point now) const;
+    std::size_t countAhead(std::string_view team, priority importance) const;
     team_queue& teamQueueOf(const std::string& team, priority importance);
     const team_queue* findTeamQueue(std::string_view team, priority importance) const;
     void insert(queued_request request);
@@ -327,6 +359,7 @@
     double m_meanLatency = 0; ///< microseconds; 0: unknown
     double m_lowerQuartileLatency = 0; ///< estimate, microseconds; 0: unknown
     double m_medianLatency = 0; ///< estimate, microseconds; 0: unknown
+    std::optional<start_pacer> m_pacer; ///< none: requests start as soon as the limit allows
     bool m_draining = false;
 };
 
--- a/src/libpolicy/admission.cpp
+++ b/src/libpolicy/admission.cpp
@@ -56,18 +56,50 @@
     return std::min<std::size_t>(std::max<std::size_t>(wanted, m_options.minQueueCapacity), m_options.maxQueueCapacity);
 }
 
-duration admission::expectedWait(std::string_view team, priority importance) const
+void admission::setPace(const std::optional<start_pace>& pace, time_point now)
 {
-    if (m_running.size() < limit())
+    if (!pace)
+        m_pacer.reset();
+    else if (!m_pacer)
+        m_pacer.emplace(*pace, now);
+    else
+        m_pacer->setPace(*pace, now);
+}
+
+/// Whether the concurrency limit and the pace allow one more request to start.
+bool admission::mayStart(time_point now) const
+{
+    return m_running.size() < limit() && (!m_pacer || m_pacer->nextStart() <= now);
+}
+
+/// Returns how long the pace alone holds up a request behind that many others.
+duration admission::pacedWait(std::size_t ahead, time_point now) const
+{
+    if (!m_pacer)
         return duration(0);
-    std::size_t ahead = 1;
+    const std::chrono::duration<double> turns(static_cast<double>(ahead) / m_pacer->pace().perSecond);
+    const auto first = std::max(m_pacer->nextStart() - now, duration(0));
+    return first + std::chrono::duration_cast<duration>(turns);
+}
+
+/// Returns the number of queued requests that start before a new one of that team and priority.
+std::size_t admission::countAhead(std::string_view team, priority importance) const
+{
+    std::size_t ahead = 0;
     for (std::size_t above = importance + std::size_t { 1 }; above < m_levels.size(); ++above)
         ahead += m_levels[above].size;
     const auto& waiting = m_levels[importance];
     const auto* teamQueue = findTeamQueue(team, importance);
     const std::size_t turns = (teamQueue != nullptr ? teamQueue->requests.size() : 0) + 1;
-    ahead += std::min(waiting.size, turns * waiting.teams.size());
-    return duration(std::llround(static_cast<double>(ahead) * m_meanLatency / limit()));
+    return ahead + std::min(waiting.size, turns * waiting.teams.size());
+}
+
+duration admission::expectedWait(std::string_view team, priority importance) const
+{
+    if (m_running.size() < limit())
+        return duration(0);
+    const std::size_t turns = countAhead(team, importance) + 1;
+    return duration(std::llround(static_cast<double>(turns) * m_meanLatency / limit()));
 }
 
 /// Whether a request that needs that many microseconds would end after its deadline. The estimates may be too high
@@ -90,7 +122,10 @@
 
 duration admission::retryAfter(priority importance) const
 {
-    const double queueTime = static_cast<double>(m_queued.size() + 1) * m_meanLatency / limit();
+    constexpr double microsecondsPerSecond = 1e6;
+    const double turnTime
+        = std::max(m_meanLatency / limit(), m_pacer ? microsecondsPerSecond / m_pacer->pace().perSecond : 0.0);
+    const double queueTime = static_cast<double>(m_queued.size() + 1) * turnTime;
     // The lowest priority is told to wait four times as long as the highest.
     const double scaled = queueTime * (1 + (highestPriority - importance) / 3.0);
     return std::clamp(duration(std::llround(scaled)), duration(std::chrono::milliseconds(10)), maxRetryAfter);
@@ -121,7 +156,7 @@
         decision.reason = refusal_reason::deadlineExceeded;
         return decision;
     }
-    if (m_running.size() < limit() && m_queued.empty()) {
+    if (mayStart(now) && m_queued.empty()) {
         if (wouldMissDeadline(incoming.deadline, m_lowerQuartileLatency, now)
             && m_options.order == queue_order::priorityFair) {
             decision.reason = refusal_reason::deadlineTooShort;
@@ -132,8 +167,11 @@
         return decision;
     }
     const double wait = static_cast<double>(expectedWait(context.team, importance).count());
+    // The time that the pace takes is certain; all else is an estimate.
+    const auto paced = pacedWait(countAhead(context.team, importance), now);
     const bool missesDeadline = m_options.order == queue_order::priorityFair
-        && wouldMissDeadline(incoming.deadline, wait + m_medianLatency, now);
+        && (now + paced > incoming.deadline
+            || wouldMissDeadline(incoming.deadline, wait + m_medianLatency, now + paced));
     if (missesDeadline || !makeRoom(incoming, decision.actions, now)) {
         countRefused(context.team, incoming.importance, now);
         // If even an idle backend server would miss the deadline, overload is not the reported reason.
@@ -193,18 +231,23 @@
 {
     if (m_deadlines.empty())
         return std::nullopt;
-    return m_deadlines.begin()->first;
+    const auto firstDeadline = m_deadlines.begin()->first;
+    if (!m_pacer || m_running.size() >= limit())
+        return firstDeadline;
+    return std::min(firstDeadline, m_pacer->nextStart());
 }
 
 void admission::start(const queued_request& request, time_point now)
 {
+    if (m_pacer)
+        m_pacer->countStart(now);
     m_running.emplace(request.id, running_request { request.team, request.importance });
     countStarted(request.team, request.importance, now);
 }
 
 void admission::startQueued(admission_actions& actions, time_point now)
 {
-    while (!m_queued.empty() && m_running.size() < limit()) {
+    while (!m_queued.empty() && mayStart(now)) {
         const auto request = dequeueNext();
         if (shouldAbandon(request, now)) {
             countRefused(request.team, request.importance, now);
