Serve requests only in the regions that their route and team allow

Cause: no line knew allowedRegions.

The entry node leaves out backend servers in other regions whenever it chooses one: for the first attempt, retries, hedges and resends. Where route and team both name regions, both bind. A region without a usable server refuses as not executed. A split route draws among the services that the regions have, since its weights cannot hold there.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -38,6 +38,7 @@
     unsigned maxAttempts = 1; ///< limit on the backend servers that one request may reach
     duration timeout { 0 };
     duration targetLatency { 0 }; ///< later responses lose value; bounds queueing and retries; 0: none
+    std::vector<std::string> allowedRegions; ///< in which its requests may be served; empty: any
 };
 
 struct team {
@@ -46,6 +47,7 @@
     std::optional<unsigned> rank; ///< overrides the rank of the route
     double ratePerSecond = 0; ///< 0: no limit
     double burst = 0; ///< requests
+    std::vector<std::string> allowedRegions; ///< in which its requests may be served; empty: any
 };
 
 struct service {
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -50,10 +50,15 @@
 } // namespace
 
 /// Distributes requests over the services of a route by weight (smooth weighted round robin).
-const std::string& node::state::chooseService(const route& matchedRoute)
+const std::string& node::state::chooseService(const ingress_call& call, time_point now)
 {
+    const auto& matchedRoute = *call.matchedRoute;
     if (matchedRoute.services.size() == 1)
         return matchedRoute.services.front().service;
+    if (isRegional(call)) {
+        if (const auto* service = drawRegionalService(call, now))
+            return *service;
+    }
     auto& credit = serviceCredit[matchedRoute.name];
     credit.resize(matchedRoute.services.size());
     double all = 0;
@@ -68,6 +73,27 @@
     return matchedRoute.services[best].service;
 }
 
+/// Draws one of the services of the route by weight that have a backend server in the regions allowed for the request.
+/// Returns nullptr if there is none.
+const std::string* node::state::drawRegionalService(const ingress_call& call, time_point now)
+{
+    std::vector<const weighted_service*> present;
+    double all = 0;
+    for (const auto& each : call.matchedRoute->services) {
+        if (!hasAllowedEndpoint(call, each.service, now))
+            continue;
+        present.push_back(&each);
+        all += each.weight;
+    }
+    double left = random.uniform() * all;
+    for (const auto* each : present) {
+        left -= each->weight;
+        if (left < 0)
+            return &each->service;
+    }
+    return nullptr;
+}
+
 void node::state::accept(client_request request, time_point now, actions& out)
 {
     ingress_call call;
@@ -97,6 +123,7 @@
             answerWithRefusal(kept, reason, duration(0), now, out);
             return;
         }
+        kept.owner = owner;
         kept.team = owner->name;
     }
     placeInTree(kept, owner, now);
@@ -131,7 +158,7 @@
 /// Sends an accepted request for the first time.
 void node::state::startCall(ingress_call& call, time_point now, actions& out)
 {
-    call.service = chooseService(*call.matchedRoute);
+    call.service = chooseService(call, now);
     retries.addRequest(call.service, fleetArrivals(call.service), now);
     if (call.position.retried)
         retries.charge(call.service, now);
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -4,6 +4,38 @@
 #include <algorithm>
 
 namespace limpet::mesh {
+namespace {
+
+    bool includes(const std::vector<std::string>& allowedRegions, const std::string& region)
+    {
+        return allowedRegions.empty()
+            || std::find(allowedRegions.begin(), allowedRegions.end(), region) != allowedRegions.end();
+    }
+
+} // namespace
+
+bool isRegional(const ingress_call& call)
+{
+    return !call.matchedRoute->allowedRegions.empty() || (call.owner && !call.owner->allowedRegions.empty());
+}
+
+bool isAllowedIn(const ingress_call& call, const std::string& region)
+{
+    return includes(call.matchedRoute->allowedRegions, region)
+        && (!call.owner || includes(call.owner->allowedRegions, region));
+}
+
+/// Whether a backend server of the service takes calls in a region allowed for the request.
+bool node::state::hasAllowedEndpoint(const ingress_call& call, const std::string& service, time_point now) const
+{
+    const auto serves = [&](const endpoint& candidate) {
+        return candidate.service == service && candidate.state == endpoint_state::ready
+            && isAllowedIn(call, candidate.region);
+    };
+    return serves(self) || std::any_of(peers.begin(), peers.end(), [&](const auto& each) {
+        return !each.second.leaving && serves(each.second) && isLive(each.second, now);
+    });
+}
 
 /// Returns the latency assumed for an endpoint without measurements: the lowest of its service, at most the default, so
 /// that a new endpoint gets calls.
@@ -33,6 +65,8 @@
     const auto consider = [&](endpoint& candidate) {
         if (candidate.service != call.service || candidate.state != endpoint_state::ready || candidate.avoidUntil > now)
             return;
+        if (!isAllowedIn(call, candidate.region))
+            return;
         const bool tried = call.tried.contains(candidate.node);
         if (tried && !call.rejectedBy.contains(candidate.node))
             return;
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -53,6 +53,7 @@
     client_request request;
     std::shared_ptr<const configuration_index> config; ///< in force when it arrived
     const route* matchedRoute = nullptr;
+    const mesh::team* owner = nullptr; ///< nullptr: none
     std::string team;
     std::string service;
     priority importance = lowestPriority;
@@ -76,6 +77,11 @@
         fallback; ///< failed response of a backend server, delivered if the retry yields nothing better
 };
 
+/// Whether the request may only be served in some regions.
+bool isRegional(const ingress_call& call);
+/// Whether the request may be served in the region: its route and its team must both allow it.
+bool isAllowedIn(const ingress_call& call, const std::string& region);
+
 /// An attempt that has ended, and the request that it was made for.
 struct ended_attempt {
     ingress_call& call;
@@ -190,7 +196,7 @@
     void cancelAttempts(ingress_call& call, std::string_view reason, time_point now, actions& out);
     std::vector<std::uint64_t> attemptsAt(const std::string& nodeName) const;
     void failAttemptsAt(const std::string& nodeName, failure_kind kind, time_point now, actions& out);
-    const std::string& chooseService(const route& matchedRoute);
+    const std::string& chooseService(const ingress_call& call, time_point now);
     duration expectedLatency(const std::string& service) const;
     endpoint* selectEndpoint(const ingress_call& call, time_point now);
     std::optional<ended_attempt> endAttempt(std::uint64_t attempt);
@@ -199,6 +205,8 @@
         ingress_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out);
     void deliver(ingress_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out);
 
+    const std::string* drawRegionalService(const ingress_call& call, time_point now);
+    bool hasAllowedEndpoint(const ingress_call& call, const std::string& service, time_point now) const;
     // ---- The local backend server (serving.cpp, confirmation.cpp, backend.cpp) ----
     local_backend backend;
     backend_candidate candidate;
