Start calls to a cold backend server at the pace that it bears

Cause: a cold server got whatever its slots let through.

The node beside a server starts its calls by the rate that the service states for cold servers, and shows other nodes the concurrency that this sustains as its limit. Every call passes this node, so the sum over all nodes needs no agreement. Heartbeats and health checks say how long a server stays cold. Services without a stated rate are served as before. The declarations for evacuations, which share the settings and the status, come along.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -54,6 +54,8 @@
     std::string name;
     std::string healthPath; ///< empty: no health check
     unsigned maxConnections = 0; ///< per backend server, over all callers; 0: unspecified
+    duration coldTime { 0 }; ///< for which a backend server is cold after its start
+    double coldCallsPerSecond = 0; ///< that a cold backend server bears; 0: no bound
 };
 
 struct client_limits {
@@ -90,6 +92,12 @@
 
 // ---- Registration in the store ----
 
+/// Availability zones whose backend servers must get no further calls.
+struct evacuations_read {
+    store_position position; ///< in the store at which they were read
+    std::vector<std::string> zones;
+};
+
 /// Maintains a node's entry in the store under a lease, and reads the list of nodes and the configuration. Performs no
 /// I/O: it emits store calls and consumes their results.
 class registry {
@@ -210,6 +218,11 @@
     std::string name;
     std::uint64_t run = 0; ///< incarnation of the node's process; must exceed that of any earlier one
     std::string region;
+    /// Calls that a cold backend server may get in any second: its rate times coldOverage, plus coldReserve.
+    double coldOverage = 1;
+    double coldReserve = 0;
+    /// A backend server that has sent no heartbeat for this long may have started again.
+    duration heartbeatTimeout = std::chrono::milliseconds(2250);
     std::string availabilityZone;
     std::string service; ///< of the local backend server
     socket_address address; ///< for links between nodes
@@ -284,6 +297,7 @@
     bool reachable = false;
 };
 /// Kinds of traffic between two nodes, each of which has links of its own.
+    std::optional<duration> coldRemaining; ///< how much longer its cold start lasts; none: not reported
 enum class traffic_class : std::uint8_t {
     calls, ///< and all that must not wait
     bulk, ///< large documents
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -328,6 +328,7 @@
     std::string callerService;
     std::string notExecuted; ///< in a response: the request was not executed
     std::string instanceId; ///< in a response to a health check: identifier of the backend server
+    std::string coldRemaining; ///< in a response to a health check: milliseconds for which it is still cold
     std::string signature; ///< in every backend response to a request; a 2xx response without it counts as lost
 };
 
@@ -369,6 +370,10 @@
     duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
     auto operator<=>(const daemon_settings&) const = default;
 };
+    duration evacuationTime { 0 }; ///< within which an evacuation is in force; 0: there are none
+    double coldOverage = 1; ///< calls that a cold backend server may get in any second, as a multiple of its rate
+    double coldReserve = 0; ///< additional calls in any second
+    duration heartbeatInterval = std::chrono::milliseconds(1500); ///< of the local backend server
 
 /// Parses settings in JSON; comments are allowed and unknown members are ignored. Errors: malformed, invalidArgument.
 result<daemon_settings> parseDaemonSettings(std::string_view text);
--- a/src/libmesh/backend.cpp
+++ b/src/libmesh/backend.cpp
@@ -43,7 +43,7 @@
     backend.startTimeMs = report.startTimeMs;
     backend.sequence = report.sequence;
     backend.reachable = true;
-    self.coldUntil = now + report.coldRemaining;
+    coldReported(report.coldRemaining, now, out);
     if (report.draining && !backend.draining)
         startBackendDrain(now, out);
 }
@@ -95,10 +95,15 @@
         backend_heartbeat report;
         report.id = checked.id;
         report.service = options.service;
-        replaceBackend(candidate.report.value_or(report), now, out);
+        report = candidate.report.value_or(report);
+        report.coldRemaining = checked.coldRemaining.value_or(report.coldRemaining);
+        replaceBackend(report, now, out);
         return;
     }
     log(out, "backend_unconfirmed",
+    warmthChecked(checked, now, out);
+    if (!candidate.report && !backend.id.empty())
+        return;
         { { "stated", candidate.report ? candidate.report->id : "" }, { "found", checked.id },
             { "healthy", checked.healthy ? "1" : "0" }, { "checks", std::to_string(candidate.checks) } });
     candidate.checkAt = now + options.healthCheckInterval;
@@ -122,8 +127,8 @@
     self.backendId = report.id;
     self.service = report.service;
     self.slots = report.slots;
-    self.coldUntil = now + report.coldRemaining;
-    resetAdmission(report.slots);
+    resetAdmission(report.slots, now);
+    coldReported(report.coldRemaining, now, out);
     latency = 0;
     failureRate = 0;
     silentFraction = 0;
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -1252,6 +1252,9 @@
             bool news = false;
             std::vector<limpet::mesh::wire::team_count> uses {};
             bool store_lost = false;
+            int64_t evacuations_revision = 0;
+            uint64_t evacuations_era = 0;
+            std::vector<std::string> evacuated {};
             status_data() = default;
             status_data(const status_data& o);
             status_data(status_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1280,7 +1283,10 @@
                 VT_PORT = 36,
                 VT_NEWS = 38,
                 VT_USES = 40,
-                VT_STORE_LOST = 42
+                VT_STORE_LOST = 42,
+                VT_EVACUATIONS_REVISION = 44,
+                VT_EVACUATIONS_ERA = 46,
+                VT_EVACUATED = 48
             };
             const flatbuffers::String* node() const { return GetPointer<const flatbuffers::String*>(VT_NODE); }
             uint64_t run() const { return GetField<uint64_t>(VT_RUN, 0); }
@@ -1310,6 +1316,12 @@
                 return GetPointer<const flatbuffers::Vector<const limpet::mesh::wire::team_count*>*>(VT_USES);
             }
             bool store_lost() const { return GetField<uint8_t>(VT_STORE_LOST, 0) != 0; }
+            int64_t evacuations_revision() const { return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0); }
+            uint64_t evacuations_era() const { return GetField<uint64_t>(VT_EVACUATIONS_ERA, 0); }
+            const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* evacuated() const
+            {
+                return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>*>(VT_EVACUATED);
+            }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_NODE) && verifier.VerifyString(node())
@@ -1325,7 +1337,11 @@
                     && VerifyOffset(verifier, VT_IP) && verifier.VerifyString(ip())
                     && VerifyField<uint16_t>(verifier, VT_PORT, 2) && VerifyField<uint8_t>(verifier, VT_NEWS, 1)
                     && VerifyOffset(verifier, VT_USES) && verifier.VerifyVector(uses())
-                    && VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) && verifier.EndTable();
+                    && VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1)
+                    && VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8)
+                    && VerifyField<uint64_t>(verifier, VT_EVACUATIONS_ERA, 8) && VerifyOffset(verifier, VT_EVACUATED)
+                    && verifier.VerifyVector(evacuated()) && verifier.VerifyVectorOfStrings(evacuated())
+                    && verifier.EndTable();
             }
             status_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(status_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -1386,6 +1402,19 @@
             {
                 fbb_.AddElement<uint8_t>(status::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
             }
+            void add_evacuations_revision(int64_t evacuations_revision)
+            {
+                fbb_.AddElement<int64_t>(status::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
+            }
+            void add_evacuations_era(uint64_t evacuations_era)
+            {
+                fbb_.AddElement<uint64_t>(status::VT_EVACUATIONS_ERA, evacuations_era, 0);
+            }
+            void add_evacuated(
+                flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated)
+            {
+                fbb_.AddOffset(status::VT_EVACUATED, evacuated);
+            }
             explicit statusBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -1408,12 +1437,16 @@
             uint64_t configuration = 0, flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
             bool introduce = false, flatbuffers::Offset<flatbuffers::String> ip = 0, uint16_t port = 0,
             bool news = false, flatbuffers::Offset<flatbuffers::Vector<const limpet::mesh::wire::team_count*>> uses = 0,
-            bool store_lost = false)
+            bool store_lost = false, int64_t evacuations_revision = 0, uint64_t evacuations_era = 0,
+            flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated = 0)
         {
             statusBuilder builder_(_fbb);
+            builder_.add_evacuations_era(evacuations_era);
+            builder_.add_evacuations_revision(evacuations_revision);
             builder_.add_configuration(configuration);
             builder_.add_sequence(sequence);
             builder_.add_run(run);
+            builder_.add_evacuated(evacuated);
             builder_.add_uses(uses);
             builder_.add_ip(ip);
             builder_.add_load(load);
@@ -1439,7 +1472,9 @@
             uint8_t state = 0, uint32_t slots = 0, uint32_t cold_ms = 0, bool leaving = false,
             uint64_t configuration = 0, flatbuffers::Offset<limpet::mesh::wire::load_report> load = 0,
             bool introduce = false, const char* ip = nullptr, uint16_t port = 0, bool news = false,
-            const std::vector<limpet::mesh::wire::team_count>* uses = nullptr, bool store_lost = false)
+            const std::vector<limpet::mesh::wire::team_count>* uses = nullptr, bool store_lost = false,
+            int64_t evacuations_revision = 0, uint64_t evacuations_era = 0,
+            const std::vector<flatbuffers::Offset<flatbuffers::String>>* evacuated = nullptr)
         {
             auto node__ = node ? _fbb.CreateString(node) : 0;
             auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1448,9 +1483,10 @@
             auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
             auto ip__ = ip ? _fbb.CreateString(ip) : 0;
             auto uses__ = uses ? _fbb.CreateVectorOfStructs<limpet::mesh::wire::team_count>(*uses) : 0;
+            auto evacuated__ = evacuated ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated) : 0;
             return limpet::mesh::wire::Createstatus(_fbb, node__, run, sequence, region__, availability_zone__,
                 service__, endpoint__, state, slots, cold_ms, leaving, configuration, load, introduce, ip__, port, news,
-                uses__, store_lost);
+                uses__, store_lost, evacuations_revision, evacuations_era, evacuated__);
         }
 
         flatbuffers::Offset<status> Createstatus(flatbuffers::FlatBufferBuilder& _fbb, const status_data* _o,
@@ -2499,6 +2535,9 @@
             , news(o.news)
             , uses(o.uses)
             , store_lost(o.store_lost)
+            , evacuations_revision(o.evacuations_revision)
+            , evacuations_era(o.evacuations_era)
+            , evacuated(o.evacuated)
         {
         }
 
@@ -2523,6 +2562,9 @@
             std::swap(news, o.news);
             std::swap(uses, o.uses);
             std::swap(store_lost, o.store_lost);
+            std::swap(evacuations_revision, o.evacuations_revision);
+            std::swap(evacuations_era, o.evacuations_era);
+            std::swap(evacuated, o.evacuated);
             return *this;
         }
 
@@ -2625,6 +2667,23 @@
                 auto _e = store_lost();
                 _o->store_lost = _e;
             }
+            {
+                auto _e = evacuations_revision();
+                _o->evacuations_revision = _e;
+            }
+            {
+                auto _e = evacuations_era();
+                _o->evacuations_era = _e;
+            }
+            {
+                auto _e = evacuated();
+                if (_e) {
+                    _o->evacuated.resize(_e->size());
+                    for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) {
+                        _o->evacuated[_i] = _e->Get(_i)->str();
+                    }
+                }
+            }
         }
 
         inline flatbuffers::Offset<status> status::Pack(flatbuffers::FlatBufferBuilder& _fbb, const status_data* _o,
@@ -2663,9 +2722,12 @@
             auto _news = _o->news;
             auto _uses = _o->uses.size() ? _fbb.CreateVectorOfStructs(_o->uses) : 0;
             auto _store_lost = _o->store_lost;
+            auto _evacuations_revision = _o->evacuations_revision;
+            auto _evacuations_era = _o->evacuations_era;
+            auto _evacuated = _o->evacuated.size() ? _fbb.CreateVectorOfStrings(_o->evacuated) : 0;
             return limpet::mesh::wire::Createstatus(_fbb, _node, _run, _sequence, _region, _availability_zone, _service,
                 _endpoint, _state, _slots, _cold_ms, _leaving, _configuration, _load, _introduce, _ip, _port, _news,
-                _uses, _store_lost);
+                _uses, _store_lost, _evacuations_revision, _evacuations_era, _evacuated);
         }
 
         inline bundle_data::bundle_data(const bundle_data& o)
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -61,6 +61,8 @@
             log(out, each.reachable ? "backend_regained" : "backend_lost", { { "backend", own.backend.id } });
             if (!each.reachable)
                 own.refuseQueued(refusal_reason::noBackendServer, now, out);
+            else
+                own.assumeCold("regained", now, out);
         }
         void operator()(const frame_received& each) const { own.receiveFrame(each, now, out); }
         void operator()(const link_closed& each) const
@@ -111,6 +113,9 @@
     if (now >= servingDeadline())
         refuseQueued(refusal_reason::draining, now, out);
     applyAdmission(admissionControl.expire(now), now, out);
+    if (paced)
+        updatePace(now, out);
+    checkWarmth(now, out);
     cancelOverdueServing(now, out);
     refuseUnconfirmed(now, out);
     retries.setNodeCount(peers.size() + 1);
@@ -137,6 +142,9 @@
     if (config)
         next = std::min(next, candidate.checkAt);
     if (admissionControl.queued() > 0)
+    if (paced)
+        next = std::min(next, self.coldUntil);
+    next = std::min(next, nextWarmthTimer());
         next = std::min(next, servingDeadline());
     if (!servingDeadlines.empty())
         next = std::min(next, servingDeadlines.begin()->first + cancelGrace);
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -48,7 +48,7 @@
 endpoint_load node::state::ownLoad() const
 {
     return { static_cast<unsigned>(admissionControl.inFlight()), static_cast<unsigned>(admissionControl.queued()),
-        admissionControl.limit(), duration(std::llround(latency)), std::max(failureRate, silentFraction),
+        pacedLimit(), duration(std::llround(latency)), std::max(failureRate, silentFraction),
         arrivals.lastPerSecond() };
 }
 
@@ -362,19 +362,20 @@
 }
 
 /// Starts with an empty queue and a limit for that many slots; 0: unknown.
-void node::state::resetAdmission(unsigned slots)
+void node::state::resetAdmission(unsigned slots, time_point now)
 {
     const double usable = options.usableSlotFraction * (slots == 0 ? assumedSlots() : slots);
     admission_options admissionOptions;
     admissionOptions.limit = slot_limit(static_cast<unsigned>(std::max(1.0, std::floor(usable))));
     admissionControl = admission(admissionOptions);
+    admissionControl.setPace(coldPace(), now);
 }
 
 /// Applies a changed number of slots. Running calls count against the new limit; those beyond it are not offered, since
 /// admission control would queue and start them a second time.
 void node::state::resizeAdmission(unsigned slots, time_point now, actions& out)
 {
-    resetAdmission(slots);
+    resetAdmission(slots, now);
     std::vector<std::uint64_t> waiting;
     for (const auto& [servingId, call] : serving) {
         if (!call.started)
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -143,6 +143,12 @@
     unsigned checks = 0;
 };
 
+/// The evacuated availability zones, and the position in the store at which they were read.
+struct evacuation_set {
+    store_position position;
+    std::set<std::string> zones;
+};
+
 /// The local backend server in use.
 struct local_backend {
     std::string id;
@@ -261,9 +267,31 @@
     void handleCheckResult(const backend_check_result& checked, time_point now, actions& out);
     void replaceBackend(const backend_heartbeat& report, time_point now, actions& out);
     void startBackendDrain(time_point now, actions& out);
-    void resetAdmission(unsigned slots);
+    void resetAdmission(unsigned slots, time_point now);
     void resizeAdmission(unsigned slots, time_point now, actions& out);
     unsigned assumedSlots() const;
+
+    // ---- Cold start of the local backend server (cold_start.cpp) ----
+    bool paced = false; ///< its calls are started at the pace of a cold backend server
+    time_point lastWarmthReport {}; ///< when it last said whether it is cold
+    time_point nextWarmthCheckAt = time_point::max(); ///< of one that is asked for it; max: it reported in time
+    const mesh::service* coldBounds() const;
+    void coldReported(duration remaining, time_point now, actions& out);
+    void assumeCold(std::string_view reason, time_point now, actions& out);
+    void checkWarmth(time_point now, actions& out);
+    void warmthChecked(const backend_check_result& checked, time_point now, actions& out);
+    time_point nextWarmthTimer() const;
+    void updatePace(time_point now, actions& out);
+    std::optional<start_pace> coldPace() const;
+    unsigned pacedLimit() const;
+
+    // ---- Evacuation of availability zones (evacuation.cpp) ----
+    evacuation_set evacuations;
+    bool isEvacuated(const std::string& zone) const;
+    void mergeEvacuations(const evacuations_read& read, time_point now, actions& out);
+    void reportEvacuations(wire::status_data& status) const;
+
+    // ---- The local backend server, continued ----
     bool isSilent(const serving_call& call, time_point now) const;
     double measureSilence(time_point now) const;
     void refuseQueued(refusal_reason reason, time_point now, actions& out);
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -24,6 +24,9 @@
     constexpr std::size_t responseMemoryDivisor = 8;
     constexpr std::size_t bytesPerMb = 1 << 20;
 
+    // A heartbeat counts as missing this many intervals after the one before it.
+    constexpr double overdueHeartbeats = 1.5;
+
     std::size_t descriptorsFor(const daemon_settings& settings, double fraction)
     {
         const auto all = settings.maxDescriptors - std::min(settings.maxDescriptors, reservedDescriptors);
@@ -43,6 +46,9 @@
         tuning.retryReserve = settings.retryReserve;
         tuning.retryWindow = settings.retryWindow;
         tuning.maxHeldBytes = bodyBudget(settings);
+        tuning.coldOverage = settings.coldOverage;
+        tuning.coldReserve = settings.coldReserve;
+        tuning.heartbeatTimeout = std::chrono::duration_cast<duration>(overdueHeartbeats * settings.heartbeatInterval);
         return tuning;
     }
 
@@ -378,6 +384,9 @@
     applicable.memoryMb = settings.memoryMb;
     impl.logEvent({ "reload",
         { { "changed", applicable == impl.settings ? "0" : "1" },
+    applicable.coldOverage = settings.coldOverage;
+    applicable.coldReserve = settings.coldReserve;
+    applicable.heartbeatInterval = settings.heartbeatInterval;
             { "restart_needed", applicable == settings ? "0" : "1" },
             { "max_descriptors", std::to_string(settings.maxDescriptors) },
             { "memory_mb", std::to_string(settings.memoryMb) } } });
--- a/src/libproxy/daemon_requests.cpp
+++ b/src/libproxy/daemon_requests.cpp
@@ -168,6 +168,8 @@
         if (id)
             checked.id = *id;
         checked.healthy = outcome && outcome->status == statusOk;
+        if (outcome)
+            checked.coldRemaining = parseMilliseconds(findHeader(outcome->headers, adapter.headers.coldRemaining));
         handle(std::move(checked));
     });
 }
--- a/src/libproxy/settings.cpp
+++ b/src/libproxy/settings.cpp
@@ -115,6 +115,11 @@
         settings.retryWindow = std::chrono::seconds(1);
     reader.readNumber("retry_ratio", 0, 1, settings.retryRatio);
     reader.readNumber("retry_reserve", 0, maxReserve, settings.retryReserve);
+    constexpr double maxOverage = 100;
+    reader.readMilliseconds("evacuation_time_ms", settings.evacuationTime);
+    reader.readNumber("cold_overage", 1, maxOverage, settings.coldOverage);
+    reader.readNumber("cold_reserve", 0, maxReserve, settings.coldReserve);
+    reader.readMilliseconds("heartbeat_ms", settings.heartbeatInterval);
     if (reader.firstError())
         return tl::unexpected(*reader.firstError());
     return settings;
