Send nothing to the backend servers of an evacuated availability zone

Cause: no node read op/evacuate.

The nodes that read the configuration for their zone also read the evacuations, now watching the operators' common prefix. Each status carries the set with the position at which it was read; the highest position replaces the set, so that late messages cannot undo it. The node beside a server refuses its queued and new calls unexecuted and shows the server as draining; the others leave the zone out. When it ends, idle servers count as cold until they report. Deployments without the setting neither read nor send anything of it.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -121,9 +121,11 @@
         /// This node's place among them, from 0 to 1.
         double registrationOrder = 0;
         duration maxListAge = std::chrono::seconds(5); ///< a list may lack entries that are not older than this
+        std::string evacuationPrefix; ///< of the keys that name evacuated zones; empty: they are not read
     };
     struct outcome {
         std::vector<store_call> calls;
+        std::optional<evacuations_read> evacuations;
         std::optional<std::string> document; ///< configuration as read from the store
         std::optional<store_position> watchFrom; ///< position from which to watch the configuration
         bool unwatch = false; ///< ends the watch of the configuration
@@ -137,6 +139,8 @@
     void handle(const store_result& result, time_point now, outcome& out);
     /// Handles a new value reported by the configuration watch.
     void configurationChanged(const std::string& document, outcome& out);
+    /// Handles that an evacuation has begun or ended, as reported by the watch.
+    void evacuationsChanged(time_point now);
     /// Takes the era of a reply that reached the node on another way than handle(), such as a watch. seenIn: kind of
     /// the reply, for the log.
     era_change observeEra(store_era era, const char* seenIn, time_point now, outcome& out);
@@ -154,7 +158,7 @@
     time_point nextTimer() const;
 
 private:
-    enum class task_kind : std::uint8_t { configuration, lease, entry, keepAlive, list };
+    enum class task_kind : std::uint8_t { configuration, evacuations, lease, entry, keepAlive, list };
     struct task {
         time_point at {}; ///< due time
         std::uint64_t token = 0; ///< of the store call in flight; 0: none
@@ -169,11 +173,13 @@
     void startAgain(time_point now, outcome& out);
     void noteReachability(task_kind which, const result<store_reply>& reply, time_point now, outcome& out);
     void readList(const store_get_reply& got, time_point now, outcome& out);
+    void readEvacuations(const store_get_reply& got, outcome& out);
+    static bool isOperatorTask(task_kind which);
     void checkOwnEntry(const store_get_reply& got, time_point now, outcome& out);
     time_point nextKeepAlive(time_point now) const;
 
     options m_options;
-    std::array<task, 5> m_tasks {};
+    std::array<task, 6> m_tasks {};
     std::uint64_t m_nextToken = 1;
     store_era_tracker m_era;
     store_lease m_lease = 0;
@@ -212,17 +218,17 @@
     double retryReserve = 50; ///< additional retries that the bound allows, over all nodes together
     duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
     std::size_t maxHeldBytes = 64 << 20; ///< of bodies of calls for the local backend server; more calls are refused
+    /// Calls that a cold backend server may get in any second: its rate times coldOverage, plus coldReserve.
+    double coldOverage = 1;
+    double coldReserve = 0;
+    /// A backend server that has sent no heartbeat for this long may have started again.
+    duration heartbeatTimeout = std::chrono::milliseconds(2250);
 };
 
 struct node_options {
     std::string name;
     std::uint64_t run = 0; ///< incarnation of the node's process; must exceed that of any earlier one
     std::string region;
-    /// Calls that a cold backend server may get in any second: its rate times coldOverage, plus coldReserve.
-    double coldOverage = 1;
-    double coldReserve = 0;
-    /// A backend server that has sent no heartbeat for this long may have started again.
-    duration heartbeatTimeout = std::chrono::milliseconds(2250);
     std::string availabilityZone;
     std::string service; ///< of the local backend server
     socket_address address; ///< for links between nodes
@@ -291,13 +297,13 @@
 struct backend_check_result {
     std::string id; ///< empty: no response, or one without an identifier
     bool healthy = false; ///< and not draining
+    std::optional<duration> coldRemaining; ///< how much longer its cold start lasts; none: not reported
 };
 /// The local backend server refuses connections, or accepts them again.
 struct backend_reachability {
     bool reachable = false;
 };
 /// Kinds of traffic between two nodes, each of which has links of its own.
-    std::optional<duration> coldRemaining; ///< how much longer its cold start lasts; none: not reported
 enum class traffic_class : std::uint8_t {
     calls, ///< and all that must not wait
     bulk, ///< large documents
@@ -347,9 +353,10 @@
     node_tuning tuning;
 };
 
-using event = std::variant<client_request, client_disconnected, backend_result, backend_heartbeat,
-    backend_deregistration, backend_check_result, backend_reachability, frame_received, link_closed, link_suspected,
-    status_received, configuration_received, nodes_listed, store_reachability, leave_request, tuning_changed>;
+using event
+    = std::variant<client_request, client_disconnected, backend_result, backend_heartbeat, backend_deregistration,
+        backend_check_result, backend_reachability, frame_received, link_closed, link_suspected, status_received,
+        configuration_received, evacuations_read, nodes_listed, store_reachability, leave_request, tuning_changed>;
 
 struct send_response {
     std::uint64_t call = 0;
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -338,6 +338,8 @@
 struct deployment_adapter {
     header_names headers;
     std::string configurationKey; ///< key of the configuration document in the store
+    std::string evacuationPrefix; ///< prefix of the keys of evacuated availability zones in the store
+    std::string operatorPrefix; ///< common prefix of both
     std::string entryPrefix; ///< prefix of the keys of node entries in the store
     /// Parses a request to the control address. Errors: notFound for an unknown method or path; any other if the
     /// request is invalid.
@@ -368,12 +370,12 @@
     std::size_t maxDescriptors = 1024; ///< of the process
     std::size_t memoryMb = 256; ///< of the process; a process that exceeds it is killed from outside
     duration retryWindow = std::chrono::seconds(10); ///< in which the bound on retries holds
-    auto operator<=>(const daemon_settings&) const = default;
-};
     duration evacuationTime { 0 }; ///< within which an evacuation is in force; 0: there are none
     double coldOverage = 1; ///< calls that a cold backend server may get in any second, as a multiple of its rate
     double coldReserve = 0; ///< additional calls in any second
     duration heartbeatInterval = std::chrono::milliseconds(1500); ///< of the local backend server
+    auto operator<=>(const daemon_settings&) const = default;
+};
 
 /// Parses settings in JSON; comments are allowed and unknown members are ignored. Errors: malformed, invalidArgument.
 result<daemon_settings> parseDaemonSettings(std::string_view text);
--- a/src/libmesh/backend.cpp
+++ b/src/libmesh/backend.cpp
@@ -14,7 +14,8 @@
 
 bool node::state::canServe(time_point now) const
 {
-    return !backend.id.empty() && backend.reachable && now < servingDeadline();
+    return !backend.id.empty() && backend.reachable && now < servingDeadline()
+        && !isEvacuated(options.availabilityZone);
 }
 
 /// Heartbeats are ordered by start time, then by sequence number. The start time of a backend server that was
@@ -100,10 +101,10 @@
         replaceBackend(report, now, out);
         return;
     }
-    log(out, "backend_unconfirmed",
     warmthChecked(checked, now, out);
     if (!candidate.report && !backend.id.empty())
         return;
+    log(out, "backend_unconfirmed",
         { { "stated", candidate.report ? candidate.report->id : "" }, { "found", checked.id },
             { "healthy", checked.healthy ? "1" : "0" }, { "checks", std::to_string(candidate.checks) } });
     candidate.checkAt = now + options.healthCheckInterval;
--- a/src/libmesh/dissemination.cpp
+++ b/src/libmesh/dissemination.cpp
@@ -72,7 +72,7 @@
     auto state = endpoint_state::ready;
     if (backend.id.empty())
         state = endpoint_state::absent;
-    else if (backend.draining)
+    else if (backend.draining || isEvacuated(options.availabilityZone))
         state = endpoint_state::draining;
     else if (!backend.reachable)
         state = endpoint_state::down;
@@ -89,6 +89,7 @@
     status.ip = options.address.ip;
     status.port = options.address.port;
     status.news = urgentStatusDue;
+    reportEvacuations(status);
     return encodeStatus(status);
 }
 
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -69,6 +69,7 @@
     mesh::registry subject { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
     time_point now = start;
     std::optional<store_position> watchedFrom;
+    std::optional<evacuations_read> evacuations; ///< as read last
 
     registry_fixture()
     {
@@ -86,6 +87,8 @@
                 watchedFrom.reset();
             if (next.watchFrom)
                 watchedFrom = next.watchFrom;
+            if (next.evacuations)
+                evacuations = next.evacuations;
             out = std::move(next);
         }
     }
@@ -440,4 +443,103 @@
     EXPECT_EQ(configurationReads(fixture), before + 1);
 }
 
+/// Reads evacuations from keys with the prefix "evacuate/".
+struct evacuation_fixture : registry_fixture {
+    evacuation_fixture()
+    {
+        mesh::registry::options options { "conf", "nodes/", "a", "10.0.0.1:7000" };
+        options.evacuationPrefix = "evacuate/";
+        subject = mesh::registry(options);
+        mesh::registry::outcome out;
+        subject.readConfiguration(true, now, out);
+        store.entries["conf"] = { "conf", "x", 3 };
+    }
+
+    std::size_t reads() const
+    {
+        return static_cast<std::size_t>(std::count_if(store.seen.begin(), store.seen.end(), [](const auto& each) {
+            const auto* get = std::get_if<store_get>(&each);
+            return get && get->key == "evacuate/";
+        }));
+    }
+
+    void evacuate(const std::string& zone) { store.entries["evacuate/" + zone] = { "evacuate/" + zone, "{}", 9 }; }
+};
+
+TEST(registry, readsEvacuationsAfterTheConfiguration)
+{
+    evacuation_fixture fixture;
+    fixture.evacuate("north-a");
+    fixture.runFor(1s);
+    ASSERT_TRUE(fixture.evacuations);
+    EXPECT_EQ(fixture.evacuations->zones, std::vector<std::string> { "north-a" });
+    EXPECT_EQ(fixture.evacuations->position.revision, 10);
+    EXPECT_EQ(fixture.evacuations->position.era, 1U);
+    EXPECT_EQ(fixture.reads(), 1U);
+}
+
+TEST(registry, readsEvacuationsAgainWhenTheyChange)
+{
+    evacuation_fixture fixture;
+    fixture.runFor(1s);
+    ASSERT_TRUE(fixture.evacuations);
+    EXPECT_TRUE(fixture.evacuations->zones.empty());
+    fixture.evacuate("north-a");
+    fixture.subject.evacuationsChanged(fixture.now);
+    fixture.runFor(100ms);
+    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
+}
+
+// A read that was answered before the change must not hide it.
+TEST(registry, changeDuringAReadIsReadAfterIt)
+{
+    evacuation_fixture fixture;
+    fixture.runFor(1s);
+    fixture.subject.evacuationsChanged(fixture.now);
+    mesh::registry::outcome reading;
+    fixture.subject.tick(fixture.now, reading);
+    ASSERT_EQ(reading.calls.size(), 1U);
+    const auto early = fixture.store.answer(reading.calls.front().operation);
+    fixture.evacuate("north-a");
+    fixture.subject.evacuationsChanged(fixture.now);
+    mesh::registry::outcome late;
+    fixture.subject.handle({ reading.calls.front().token, early, 1 }, fixture.now, late);
+    EXPECT_FALSE(late.evacuations);
+    fixture.runFor(100ms);
+    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
+}
+
+TEST(registry, readsEvacuationsAgainAfterAnOutage)
+{
+    evacuation_fixture fixture;
+    fixture.runFor(1s);
+    fixture.store.unavailable = true;
+    fixture.runFor(5s);
+    fixture.evacuate("north-a");
+    fixture.store.unavailable = false;
+    fixture.runFor(1500ms);
+    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
+}
+
+TEST(registry, readsEvacuationsAgainWhenTheStoreWasRestored)
+{
+    evacuation_fixture fixture;
+    fixture.evacuate("north-a");
+    fixture.runFor(2s);
+    fixture.store.restore();
+    fixture.store.entries["conf"] = { "conf", "x", 3 };
+    fixture.runFor(3s);
+    EXPECT_TRUE(fixture.evacuations->zones.empty());
+    EXPECT_EQ(fixture.evacuations->position.era, 2U);
+}
+
+TEST(registry, readsNoEvacuationsWhereThereAreNone)
+{
+    registry_fixture fixture;
+    fixture.store.entries["conf"] = { "conf", "x", 3 };
+    fixture.subject.evacuationsChanged(fixture.now);
+    fixture.runFor(3s);
+    EXPECT_FALSE(fixture.evacuations);
+}
+
 } // namespace
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -83,6 +83,7 @@
         void operator()(const link_suspected& each) const { own.suspectLink(each, now, out); }
         void operator()(const status_received& each) const { own.receiveStatus(each, now, out); }
         void operator()(configuration_received& each) const { own.applyConfiguration(std::move(each), now, out); }
+        void operator()(const evacuations_read& each) const { own.mergeEvacuations(each, now, out); }
         void operator()(const nodes_listed& each) const { own.addListedNodes(each, now); }
         void operator()(const store_reachability& each) const
         {
@@ -112,10 +113,10 @@
     hedgeSilentAttempts(now, out);
     if (now >= servingDeadline())
         refuseQueued(refusal_reason::draining, now, out);
-    applyAdmission(admissionControl.expire(now), now, out);
     if (paced)
         updatePace(now, out);
     checkWarmth(now, out);
+    applyAdmission(admissionControl.expire(now), now, out);
     cancelOverdueServing(now, out);
     refuseUnconfirmed(now, out);
     retries.setNodeCount(peers.size() + 1);
@@ -141,10 +142,10 @@
         next = std::min(next, lastStatusAt + minStatusInterval);
     if (config)
         next = std::min(next, candidate.checkAt);
-    if (admissionControl.queued() > 0)
     if (paced)
         next = std::min(next, self.coldUntil);
     next = std::min(next, nextWarmthTimer());
+    if (admissionControl.queued() > 0)
         next = std::min(next, servingDeadline());
     if (!servingDeadlines.empty())
         next = std::min(next, servingDeadlines.begin()->first + cancelGrace);
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -4,7 +4,7 @@
 namespace limpet::mesh {
 namespace {
 
-    constexpr std::array<const char*, 5> taskNames { "configuration", "lease", "entry", "keep", "list" };
+    constexpr std::array<const char*, 6> taskNames { "configuration", "evacuations", "lease", "entry", "keep", "list" };
     constexpr time_point never = time_point::max();
     // The first nodes of a zone may change often for a while; each change costs a read of the whole configuration.
     constexpr duration readingLinger = std::chrono::seconds(5);
@@ -15,10 +15,17 @@
     : m_options(std::move(given))
 {
     taskFor(task_kind::configuration).at = never;
+    taskFor(task_kind::evacuations).at = never;
     taskFor(task_kind::entry).at = never;
     taskFor(task_kind::keepAlive).at = never;
 }
 
+/// Whether the task reads what the operators have written.
+bool registry::isOperatorTask(task_kind which)
+{
+    return which == task_kind::configuration || which == task_kind::evacuations;
+}
+
 void registry::start(task_kind which, store_operation operation, outcome& out)
 {
     auto& each = taskFor(which);
@@ -37,6 +44,8 @@
         start(task_kind::configuration, store_get { m_options.configurationKey }, out);
     if (m_leftFleet)
         return;
+    if (mayReadConfiguration() && due(task_kind::evacuations))
+        start(task_kind::evacuations, store_get { m_options.evacuationPrefix, true }, out);
     if (due(task_kind::lease))
         start(task_kind::lease, store_lease_grant { m_options.timeToLive }, out);
     if (due(task_kind::entry)) {
@@ -101,7 +110,7 @@
             task.at = std::min(task.at, now);
     }
     // The watch may have lost its connection unnoticed, so the configuration is read again.
-    if (reached && which != task_kind::configuration && m_readsConfiguration)
+    if (reached && !isOperatorTask(which) && m_readsConfiguration)
         taskFor(task_kind::configuration).at = std::min(taskFor(task_kind::configuration).at, now);
     out.log.push_back({ reached ? "store_regained" : "store_lost",
         { { "call", taskNames.at(static_cast<std::size_t>(which)) },
@@ -143,6 +152,7 @@
     taskFor(task_kind::entry).at = never;
     taskFor(task_kind::keepAlive).at = never;
     taskFor(task_kind::configuration).at = m_readsConfiguration ? now : never;
+    taskFor(task_kind::evacuations).at = never;
     // The few nodes that read the configuration register at once: their renewals watch over the store.
     const double order = m_readsConfiguration ? 0 : m_options.registrationOrder;
     const std::chrono::duration<double> wait(
@@ -167,8 +177,13 @@
         // Watch even if there is no configuration yet, to see its creation.
         if (m_readsConfiguration)
             out.watchFrom = store_position { got->head + 1, m_era.current() };
+        // After the position from which the watch reports changes.
+        evacuationsChanged(now);
         break;
     }
+    case task_kind::evacuations:
+        readEvacuations(std::get<store_get_reply>(reply), out);
+        break;
     case task_kind::lease:
         m_lease = std::get<store_lease_reply>(reply).lease;
         m_written = false;
@@ -235,6 +250,21 @@
     taskFor(task_kind::entry).at = now;
 }
 
+void registry::readEvacuations(const store_get_reply& got, outcome& out)
+{
+    auto& read = out.evacuations.emplace();
+    read.position = { got.head, m_era.current() };
+    for (const auto& each : got.entries)
+        read.zones.push_back(each.key.substr(m_options.evacuationPrefix.size()));
+}
+
+/// Schedules a read. One that is in flight may have been answered before the change.
+void registry::evacuationsChanged(time_point now)
+{
+    if (!m_options.evacuationPrefix.empty())
+        taskFor(task_kind::evacuations) = { now, 0 };
+}
+
 void registry::fail(task_kind which, const error& cause, time_point now, outcome& out)
 {
     const bool expired
@@ -244,7 +274,7 @@
         taskFor(task_kind::lease).at = now;
         return;
     }
-    if (which == task_kind::configuration && !m_readsConfiguration)
+    if (isOperatorTask(which) && !m_readsConfiguration)
         return;
     taskFor(which).at = now + m_options.retryInterval;
     // While the store is unreachable, all other tasks wait for this retry, so that only one call is made.
@@ -274,6 +304,8 @@
     auto& task = taskFor(task_kind::configuration);
     if (task.token == 0)
         task.at = reads ? now : never;
+    if (!reads)
+        taskFor(task_kind::evacuations).at = never;
 }
 
 void registry::watchEnded(time_point now)
@@ -309,7 +341,8 @@
         return never;
     auto next = never;
     for (const auto& each : m_tasks) {
-        const bool waits = &each == &taskFor(task_kind::configuration) && !mayReadConfiguration();
+        const auto which = static_cast<task_kind>(&each - m_tasks.data());
+        const bool waits = isOperatorTask(which) && !mayReadConfiguration();
         if (each.token == 0 && !waits)
             next = std::min(next, each.at);
     }
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -205,14 +205,14 @@
     const std::string& chooseService(const ingress_call& call, time_point now);
     duration expectedLatency(const std::string& service) const;
     endpoint* selectEndpoint(const ingress_call& call, time_point now);
+    const std::string* drawRegionalService(const ingress_call& call, time_point now);
+    bool hasAllowedEndpoint(const ingress_call& call, const std::string& service, time_point now) const;
     std::optional<ended_attempt> endAttempt(std::uint64_t attempt);
     void stopImpatience(ingress_call& call);
     void answerWithRefusal(
         ingress_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out);
     void deliver(ingress_call& call, http_answer answer, std::string_view outcome, time_point now, actions& out);
 
-    const std::string* drawRegionalService(const ingress_call& call, time_point now);
-    bool hasAllowedEndpoint(const ingress_call& call, const std::string& service, time_point now) const;
     // ---- The local backend server (serving.cpp, confirmation.cpp, backend.cpp) ----
     local_backend backend;
     backend_candidate candidate;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -76,6 +76,8 @@
     {
         mesh::registry::options options;
         options.configurationKey = adapter.configurationKey;
+        if (settings.evacuationTime > duration(0))
+            options.evacuationPrefix = adapter.evacuationPrefix;
         options.entryPrefix = adapter.entryPrefix;
         options.entryName = settings.name;
         options.entryValue = toText(settings.advertisedLinkAddress.value_or(settings.linkAddress)) + entrySeparator
@@ -382,11 +384,11 @@
     applicable.retryWindow = settings.retryWindow;
     applicable.maxDescriptors = settings.maxDescriptors;
     applicable.memoryMb = settings.memoryMb;
-    impl.logEvent({ "reload",
-        { { "changed", applicable == impl.settings ? "0" : "1" },
     applicable.coldOverage = settings.coldOverage;
     applicable.coldReserve = settings.coldReserve;
     applicable.heartbeatInterval = settings.heartbeatInterval;
+    impl.logEvent({ "reload",
+        { { "changed", applicable == impl.settings ? "0" : "1" },
             { "restart_needed", applicable == settings ? "0" : "1" },
             { "max_descriptors", std::to_string(settings.maxDescriptors) },
             { "memory_mb", std::to_string(settings.memoryMb) } } });
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -50,6 +50,8 @@
         logEvent(line);
     if (outcome.document)
         applyConfiguration(*outcome.document, "store");
+    if (outcome.evacuations)
+        handle(std::move(*outcome.evacuations));
     if (outcome.entries)
         reportListedNodes(*outcome.entries, outcome.entriesArePreliminary);
     if (outcome.unwatch && watch) {
@@ -79,7 +81,9 @@
 {
     if (watch)
         store.unwatch(*watch);
-    watch = store.watch(adapter.configurationKey, from, [this](const store_watch_event& event) {
+    const bool watchesEvacuations = settings.evacuationTime > duration(0);
+    const auto& watched = watchesEvacuations ? adapter.operatorPrefix : adapter.configurationKey;
+    watch = store.watch(watched, from, [this](const store_watch_event& event) {
         mesh::registry::outcome outcome;
         const auto era = std::visit([](const auto& each) { return each.era; }, event);
         const auto change = registry.observeEra(era, "watch", bootTime(), outcome);
@@ -87,6 +91,8 @@
             for (const auto& each : changes->changes) {
                 if (change == era_change::none && !each.erased && each.entry.key == adapter.configurationKey)
                     registry.configurationChanged(each.entry.value, outcome);
+                if (change == era_change::none && each.entry.key.starts_with(adapter.evacuationPrefix))
+                    registry.evacuationsChanged(bootTime());
             }
         } else {
             watch.reset();
