Take a response with an invalid status line for a broken one at once

Cause: a server in trouble sent status 000.

A response is lost as soon as its head is read if its status is not an integer from 100 to 599 (RFC 9110, section 15), is 101, which answers an upgrade that is never requested, or if its version is not HTTP/1. An idempotent request then goes to another server, another one is told at once (502). 600 and above count as no answers in the protocol. The store's and other nodes' clients share the reader.

Measured: proxy_test, 15 status lines by table and interim responses.

--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -135,10 +135,24 @@
     return countHeaderBytes(part.size() + 2);
 }
 
+/// Status codes are integers from 100 to 599 (RFC 9110, section 15). 101 answers an upgrade, which is never requested.
+bool http_reader::statusLineIsValid() const
+{
+    constexpr unsigned minStatus = 100;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned maxStatus = 599;
+    const unsigned status = m_parser.status_code;
+    return m_parser.http_major == 1 && status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
 int http_reader::onHeadersComplete()
 {
     m_headersComplete = true;
     m_status = static_cast<int>(m_parser.status_code);
+    if (m_type == HTTP_RESPONSE && !statusLineIsValid()) {
+        m_state = reader_state::malformed;
+        return -1;
+    }
     if (m_type == HTTP_REQUEST)
         m_method = http_method_str(static_cast<http_method>(m_parser.method));
     const bool lengthKnown = (m_parser.flags & F_CONTENTLENGTH) != 0;
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -64,6 +64,7 @@
     int onHeaderField(std::string_view part);
     int onHeaderValue(std::string_view part);
     int onHeadersComplete();
+    bool statusLineIsValid() const;
     int onBody(std::string_view part);
     int countHeaderBytes(std::size_t bytes);
     bool reserve(std::size_t bodyBytes);
--- a/src/libproxy/proxy_http_test.cpp
+++ b/src/libproxy/proxy_http_test.cpp
@@ -110,6 +110,36 @@
     EXPECT_EQ(*(*backend.outcome)->body, "mine");
 }
 
+class invalid_status_line : public testing::TestWithParam<const char*> { };
+
+// A server in trouble sent status 000. It was skipped like an interim response, and the request waited for its whole
+// deadline.
+TEST_P(invalid_status_line, losesTheRequestAtOnce)
+{
+    fake_backend backend(17727);
+    backend.sendRequest("2");
+    sendAll(backend.connection, std::string(GetParam()) + "\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\nmine");
+    ASSERT_TRUE(backend.waitForOutcome());
+    ASSERT_FALSE(backend.outcome->has_value());
+    EXPECT_EQ(backend.outcome->error(), exchange_failure::lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(lines, invalid_status_line,
+    testing::Values("HTTP/1.1 000 None", "HTTP/1.1 000", "HTTP/1.1 001 A", "HTTP/1.1 20 OK", "HTTP/1.1 099 A",
+        "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 A", "HTTP/1.1 999 A", "HTTP/1.1 1000 A", "HTTP/1.1 abc A",
+        "HTTP/1.1 -20 A", "HTTP/1.1 2 A", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "000"));
+
+TEST(pool, skipsInterimResponses)
+{
+    fake_backend backend(17728);
+    backend.sendRequest("2");
+    sendAll(backend.connection, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n");
+    sendAll(backend.connection, "HTTP/1.1 599 A\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\nmine");
+    ASSERT_TRUE(backend.waitForOutcome());
+    ASSERT_TRUE(backend.outcome->has_value());
+    EXPECT_EQ((*backend.outcome)->status, 599);
+}
+
 // A copy of an earlier response without its identifier arrived late on a reused connection, and the next caller got it.
 TEST(pool, skipsASuccessWithoutAnIdentifier)
 {
