Bound what a node holds for clients that send ahead or do not read

A budget of a quarter of the memory bounds what clients and other nodes have not read; each byte held for a connection is charged to it. 16 KB are read ahead, the rest waits in the network; 1 KB of empty lines may precede a request. From three quarters of the budget new requests are refused before they are passed on, nothing is read from the backend server, and connections that have held a response for a second are closed, the greediest first. Buffers give sent bytes back.

--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -132,6 +132,9 @@
     std::function<void(std::uint64_t exchange)> disconnected; ///< the connection ended before the response
     /// The server answered a request itself that it has not passed on. Optional.
     std::function<void(int status, const std::vector<header>& headers)> rejected;
+    /// The server closed a connection because its client has not read that many bytes of a response for so long.
+    /// Optional.
+    std::function<void(std::size_t bytes, duration age)> unread;
 };
 
 class body_budget;
@@ -154,6 +157,9 @@
     /// Bounds the bytes held for bodies. A request whose body exceeds the budget is refused with status 503 before its
     /// body is read. The budget must outlive the server.
     void setBudget(body_budget* budget);
+    /// Bounds the bytes of responses that clients have not read. Beyond the limit, and after a second also when they
+    /// are scarce, the connection that has held most of them for longest is closed. The budget must outlive the server.
+    void setResponseBudget(body_budget* budget);
     /// Bounds the open connections. At the bound, the connection that has been idle longest is closed for a new one; if
     /// none is idle, new ones wait until one closes.
     void setMaxConnections(std::size_t connections);
@@ -203,6 +209,7 @@
     duration idleMargin = std::chrono::milliseconds(1200);
     std::size_t maxResponseBytes = 64 << 20; ///< of the body
     body_budget* budget = nullptr; ///< for the bodies of responses while they are read; nullptr: unbounded
+    const body_budget* unread = nullptr; ///< nothing is read from the server while it is scarce; nullptr: none
     std::function<void(const skipped_response&)> skipped; ///< called for each skipped final response. Optional.
 };
 
@@ -263,6 +270,7 @@
     /// Rate at which paced messages are written, in bytes per second: within the region, and to another one.
     std::size_t sameRegionPace = 10 << 20;
     std::size_t otherRegionPace = 1 << 20;
+    body_budget* budget = nullptr; ///< from which bytes that wait to be sent are taken, even beyond its limit
 };
 
 /// TCP connections that carry length-prefixed frames between nodes.
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -170,8 +170,7 @@
         reports.push_back({ each.team(), each.admitted(), each.demand() });
     rates.mergeReports(status.node, status.run, reports, now);
     considerOffer(status, now);
-    mergeEvacuations(
-        { { status.evacuations_revision, status.evacuations_era }, std::move(status.evacuated) }, now, out);
+    mergeEvacuations({ { status.evacuations_revision, status.evacuations_era }, status.evacuated }, now, out);
 }
 
 void node::state::addListedNodes(const nodes_listed& listed, time_point now)
--- a/src/libmesh/mesh_regions_test.cpp
+++ b/src/libmesh/mesh_regions_test.cpp
@@ -16,7 +16,10 @@
     {
         for (const std::string region : { "north", "south" }) {
             for (const std::string number : { "0", "1" }) {
-                auto& node = network.add({ region + "-" + number, region, region + "-a", "stock" });
+                auto name = region;
+                name += "-";
+                name += number;
+                auto& node = network.add({ name, region, region + "-a", "stock" });
                 (region == "north" ? north : south).push_back(&node);
             }
         }
--- a/src/libproxy/body_budget.cpp
+++ b/src/libproxy/body_budget.cpp
@@ -54,6 +54,16 @@
     m_bytes += bytes;
 }
 
+void body_reservation::resize(std::size_t total)
+{
+    if (total > m_bytes)
+        add(total - m_bytes);
+    else if (m_budget) {
+        m_budget->release(m_bytes - total);
+        m_bytes = total;
+    }
+}
+
 void body_reservation::clear()
 {
     if (m_budget && m_bytes > 0)
--- a/src/libproxy/body_budget.h
+++ b/src/libproxy/body_budget.h
@@ -15,6 +15,13 @@
     }
     void setLimit(std::size_t limit) { m_limit = limit; }
     std::size_t used() const { return m_used; }
+    std::size_t limit() const { return m_limit; }
+    /// Whether so much is used that nothing new should be begun.
+    bool scarce() const
+    {
+        constexpr double scarceFraction = 0.75;
+        return static_cast<double>(m_used) > scarceFraction * static_cast<double>(m_limit);
+    }
     std::size_t mostUsed() const { return m_mostUsed; }
     /// Estimates how long it takes until that many bytes are free, from the recent rate of released bytes.
     duration timeUntilFree(std::size_t bytes, time_point now);
@@ -61,6 +68,8 @@
     bool growTo(std::size_t total);
     /// Takes further bytes even beyond the limit, for what must be held anyway.
     void add(std::size_t bytes);
+    /// Holds that many bytes from now on, even beyond the limit.
+    void resize(std::size_t total);
     void clear();
     std::size_t bytes() const { return m_bytes; }
 
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -103,6 +103,7 @@
     , adapter(std::move(deploymentAdapter))
     , log(STDOUT_FILENO, settings.name)
     , bodies(bodyBudget(settings))
+    , responses(bodyBudget(settings))
     , node(makeNodeOptions(settings))
     , registry(makeRegistryOptions(settings, adapter))
     , clientServer(loop, settings.clientAddress, clientCallbacks())
@@ -122,8 +123,9 @@
     , backendPool(loop, settings.backendAddress,
           { .maxResponseBytes = settings.memoryMb * bytesPerMb / responseMemoryDivisor,
               .budget = &bodies,
+              .unread = &responses,
               .skipped = [this](const skipped_response& each) { logSkippedResponse(each); } })
-    , nodeLinks(loop, settings.linkAddress, linkCallbacks())
+    , nodeLinks(loop, settings.linkAddress, linkCallbacks(), { .budget = &responses })
     , statusSocket(loop, settings.linkAddress, [this](mesh::status_received received) { handle(std::move(received)); })
     , store(adapter.openStore(loop, settings.storeAddress))
 {
@@ -144,6 +146,12 @@
             { { "id", id ? *id : "" }, { "status", std::to_string(status) },
                 { "held_bytes", std::to_string(bodies.used()) } } });
     };
+    callbacks.unread = [this](std::size_t bytes, duration age) {
+        nodeMetrics.countUnreadResponse();
+        logEvent({ "response_unread",
+            { { "bytes", std::to_string(bytes) }, { "ms", std::to_string(age.count() / 1000) },
+                { "held_bytes", std::to_string(responses.used()) } } });
+    };
     return callbacks;
 }
 
@@ -181,6 +189,7 @@
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     loop.onError([this](const std::exception& exception) { reportError("event loop", exception); });
     clientServer.setBudget(&bodies);
+    clientServer.setResponseBudget(&responses);
     applyLimits();
     for (auto* server : { &clientServer, &healthServer, &controlServer, &metricsServer }) {
         if (auto opened = server->listen(); !opened)
@@ -253,6 +262,7 @@
 void mesh_daemon::state::applyLimits()
 {
     bodies.setLimit(bodyBudget(settings));
+    responses.setLimit(bodyBudget(settings));
     clientServer.setMaxConnections(descriptorsFor(settings, clientFraction));
     for (auto* server : { &healthServer, &controlServer, &metricsServer })
         server->setMaxConnections(descriptorsFor(settings, localFraction));
--- a/src/libproxy/daemon_requests.cpp
+++ b/src/libproxy/daemon_requests.cpp
@@ -35,6 +35,10 @@
 void mesh_daemon::state::handleClientRequest(std::uint64_t exchange, http_request request)
 {
     const auto& names = adapter.headers;
+    if (responses.scarce()) {
+        refuseForUnreadResponses(exchange, request);
+        return;
+    }
     mesh::client_request event;
     event.call = exchange;
     const auto headerValue = [&](const std::string& name) {
@@ -63,6 +67,19 @@
     handle(std::move(event));
 }
 
+/// Refuses a request that was not passed on: its response could not be held.
+void mesh_daemon::state::refuseForUnreadResponses(std::uint64_t exchange, const http_request& request)
+{
+    const auto* id = findHeader(request.headers, adapter.headers.requestId);
+    const std::chrono::duration<double> wait(responses.timeUntilFree(0, bootTime()));
+    logEvent({ "request_rejected",
+        { { "id", id ? *id : "" }, { "status", std::to_string(statusUnavailable) },
+            { "held_bytes", std::to_string(responses.used()) } } });
+    auto refusal = textResponse(statusUnavailable, "too many responses are unread; try again later\n");
+    refusal.headers.push_back({ "Retry-After", std::to_string(wait.count()).substr(0, 5) });
+    clientServer.respond(exchange, refusal);
+}
+
 void mesh_daemon::state::runOnBackend(const mesh::run_on_backend& run)
 {
     const auto& names = adapter.headers;
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -22,7 +22,8 @@
     deployment_adapter adapter;
     reactor loop;
     log_sink log;
-    body_budget bodies;
+    body_budget bodies; ///< requests, and responses of the backend server that are being read
+    body_budget responses; ///< that clients or other nodes have not read yet
     mesh::node node;
     mesh::registry registry;
     http_server clientServer;
@@ -60,6 +61,7 @@
     void armNodeTimer();
     void logEvent(const mesh::log_event& line) { log.write(line, bootTime()); }
     void handleClientRequest(std::uint64_t exchange, http_request request);
+    void refuseForUnreadResponses(std::uint64_t exchange, const http_request& request);
     void runOnBackend(const mesh::run_on_backend& run);
     void handleBackendOutcome(
         std::uint64_t attempt, bool idempotent, tl::expected<http_answer, exchange_failure> outcome);
--- a/src/libproxy/links.cpp
+++ b/src/libproxy/links.cpp
@@ -1,6 +1,7 @@
 // Framed TCP links between nodes. A frame consists of a four-byte little-endian length (of the rest of the frame), a
 // one-byte kind and the payload.
 
+#include "body_budget.h"
 #include "sockets.h"
 #include <algorithm>
 #include <sys/epoll.h>
@@ -26,6 +27,7 @@
         bool connecting = false;
         std::string input; ///< received bytes that do not form a complete frame yet
         write_buffer out;
+        body_reservation unsent; ///< bytes of out
         time_point openedAt {};
         time_point lastReceived {};
         time_point lastSent {}; ///< of messages only; pings and pongs do not count
@@ -158,6 +160,7 @@
         peerLink.serial = serial;
         peerLink.openedAt = bootTime();
         peerLink.lastReceived = peerLink.openedAt;
+        peerLink.unsent = body_reservation(options.budget);
         setAckTimeout(descriptor, options.callerAckTimeout);
         peerLink.socket
             = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
@@ -180,6 +183,7 @@
     peerLink.connecting = true;
     peerLink.openedAt = bootTime();
     peerLink.lastReceived = peerLink.openedAt;
+    peerLink.unsent = body_reservation(options.budget);
     outgoingLinks[{ peer, traffic }] = serial;
     const int descriptor = startConnect(peer, options.pingTimeout);
     if (descriptor >= 0)
@@ -196,6 +200,7 @@
     bool broken = peerLink.out.size() + bytes.size() > options.maxQueuedBytes;
     peerLink.out.add(makeFrameHeader(kind, bytes.size()));
     peerLink.out.add(bytes);
+    peerLink.unsent.resize(peerLink.out.heldBytes());
     if (kind == frame_kind::message)
         peerLink.lastSent = bootTime();
     if (!broken && !peerLink.connecting)
@@ -208,7 +213,9 @@
 /// Writes what the peer accepts, unless its messages are paced. Returns false if the connection is broken.
 bool frame_links::state::flush(link& peerLink) const
 {
-    return peerLink.pace != mesh::write_pace::unlimited || peerLink.out.flush(peerLink.socket.get());
+    const bool open = peerLink.pace != mesh::write_pace::unlimited || peerLink.out.flush(peerLink.socket.get());
+    peerLink.unsent.resize(peerLink.out.heldBytes());
+    return open;
 }
 
 /// Paces the bytes that wait to be sent over the link from now on, until all are written.
@@ -239,6 +246,7 @@
         if (!peerLink.out.flush(peerLink.socket.get(), bytesIn(share, rate)))
             broken.push_back(serial);
         const auto written = before - peerLink.out.size();
+        peerLink.unsent.resize(peerLink.out.heldBytes());
         share -= timeOf(written, rate);
         if (peerLink.out.empty())
             peerLink.pace = mesh::write_pace::unlimited;
--- a/src/libproxy/metrics.cpp
+++ b/src/libproxy/metrics.cpp
@@ -91,6 +91,7 @@
     printCounter(out, "limpet_checked_calls_total", statistics.checkedCalls);
     printCounter(out, "limpet_unconfirmed_calls_total", statistics.unconfirmedCalls);
     printCounter(out, "limpet_store_calls_total", m_storeCalls);
+    printCounter(out, "limpet_unread_responses_total", m_unreadResponses);
     printCounter(out, "limpet_store_restores_total", m_storeRestores);
     printGauge(out, "limpet_store_era", m_storeEra);
     printGauge(out, "limpet_requests_in_flight", statistics.callsInFlight);
--- a/src/libproxy/metrics.h
+++ b/src/libproxy/metrics.h
@@ -13,6 +13,7 @@
     void clientDisconnected(std::uint64_t exchange) { m_startTimes.erase(exchange); }
     void countResponse(std::uint64_t exchange, int status, time_point now);
     void countStoreCall() { ++m_storeCalls; }
+    void countUnreadResponse() { ++m_unreadResponses; }
     void setStoreEra(store_era era, std::uint64_t restores)
     {
         m_storeEra = era;
@@ -28,6 +29,7 @@
     std::array<std::uint64_t, bucketCount + 1> m_buckets {};
     double m_latencySum = 0;
     std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_unreadResponses = 0; ///< whose connections were closed
     store_era m_storeEra = 0;
     std::uint64_t m_storeRestores = 0; ///< noticed by this process
 };
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -13,6 +13,8 @@
     constexpr std::size_t maxHeaderBytes = 64 * 1024;
     // A connection is dropped if the server does not acknowledge sent bytes for this long.
     constexpr duration ackTimeout = std::chrono::seconds(4);
+    // Between two looks whether reading may go on.
+    constexpr duration unreadCheckInterval = std::chrono::milliseconds(20);
     constexpr std::string_view keepAliveTimeoutParameter = "timeout=";
     constexpr int firstFinalStatus = 200;
     constexpr int firstNonSuccessStatus = 300;
@@ -35,6 +37,7 @@
         std::uint64_t exchange = 0; ///< zero: idle or used by a probe
         unsigned skippedResponses = 0; ///< since its exchange began
         std::uint64_t requestsSent = 0;
+        std::uint32_t delayedEvents = 0; ///< of input that is left with the server for now
         std::function<void(bool)> probe;
         time_point usableUntil {};
         std::uint64_t timer = 0; ///< connect timeout or idle timeout
@@ -61,6 +64,7 @@
     connection* open();
     void sendRequest(connection& conn, std::uint64_t id);
     void handleReady(std::uint64_t serial, std::uint32_t events);
+    void readLater(std::uint64_t serial, std::uint32_t events);
     void readInput(connection& conn, std::uint32_t events);
     bool handleResponse(connection& conn, std::string_view rest, bool inputEnded);
     void makeIdle(connection& conn);
@@ -250,10 +254,26 @@
         failConnection(serial, exchange_failure::lost);
         return;
     }
-    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0)
+        return;
+    if (options.unread && options.unread->scarce())
+        readLater(serial, events);
+    else
         readInput(conn, events);
 }
 
+/// Leaves bytes with the server until the responses that were read before have been passed on.
+void http_pool::state::readLater(std::uint64_t serial, std::uint32_t events)
+{
+    if (std::exchange(connections.at(serial).delayedEvents, connections.at(serial).delayedEvents | events) != 0)
+        return;
+    loop.callAt(bootTime() + unreadCheckInterval, [this, serial] {
+        const auto found = connections.find(serial);
+        if (found != connections.end())
+            handleReady(serial, std::exchange(found->second.delayedEvents, 0));
+    });
+}
+
 void http_pool::state::readInput(connection& conn, std::uint32_t events)
 {
     const auto serial = conn.serial;
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -14,8 +14,13 @@
     // After the last response, input is still read and discarded for this long: closing a socket with unread bytes
     // sends a reset, which can destroy the response.
     constexpr duration lingerTimeout = std::chrono::seconds(1);
-    // Limit on the buffered bytes that follow the request in progress; a body of the maximum size is allowed on top.
-    constexpr std::size_t maxPipelinedBytes = 256 * 1024;
+    // Bytes of further requests that are read while one is in progress; the rest waits in the network.
+    constexpr std::size_t maxReadAheadBytes = 16 * 1024;
+    constexpr std::size_t bodyChunkBytes = readChunkBytes; ///< of one read of a body
+    // Bytes of empty lines before a request.
+    constexpr std::size_t maxLeadingBytes = 1024;
+    // A response counts as held by its client from this time on.
+    constexpr duration maxResponseAge = std::chrono::seconds(1);
 
     enum class connection_phase : std::uint8_t {
         reading, ///< a request, or idle between two requests
@@ -32,6 +37,9 @@
         std::string pipelined; ///< received bytes that follow the request in progress
         write_buffer out;
         body_reservation response; ///< bytes of the response that is being written
+        time_point responseStart {};
+        std::size_t leadingBytes = 0; ///< before the request that is being read
+        bool readingPaused = false; ///< bytes may be available that raise no further event
         std::uint64_t exchange = 0;
         bool closeAfterResponse = false;
         bool inputEnded = false; ///< the client has shut down its sending side
@@ -67,6 +75,7 @@
     http_server_callbacks callbacks;
     mesh::client_limits limits;
     body_budget* budget = nullptr;
+    body_budget* responseBudget = nullptr;
     std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
     bool acceptPaused = false; ///< connections may be pending that raise no further event
     watched_socket listener;
@@ -88,6 +97,10 @@
     void refuseForMemory(connection& conn);
     void write(connection& conn, const http_answer& response, bool close);
     void flush(std::uint64_t serial);
+    static bool hasReadAhead(const connection& conn);
+    static void accountHeld(connection& conn);
+    bool closeGreediest(duration minAge, std::uint64_t except);
+    void resumeReading(connection& conn);
     void closeConnection(std::uint64_t serial);
     void checkTimeouts();
 };
@@ -116,6 +129,8 @@
 
 void http_server::setBudget(body_budget* budget) { m_state->budget = budget; }
 
+void http_server::setResponseBudget(body_budget* budget) { m_state->responseBudget = budget; }
+
 void http_server::setMaxConnections(std::size_t connections)
 {
     m_state->maxConnections = std::max<std::size_t>(connections, 1);
@@ -157,7 +172,7 @@
         conn.phaseStart = bootTime();
         conn.reader.setLimits(limits.maxHeaderBytes, limits.maxBodyBytes);
         conn.reader.setBudget(budget);
-        conn.response = body_reservation(budget);
+        conn.response = body_reservation(responseBudget ? responseBudget : budget);
         conn.socket
             = watched_socket(loop, descriptor, [this, serial](std::uint32_t events) { handleReady(serial, events); });
         // Bytes that have already arrived raise an event once the socket is registered.
@@ -201,11 +216,66 @@
         flush(serial);
 }
 
+/// Whether so many bytes of further requests were read that the rest has to wait until these have been handled.
+bool http_server::state::hasReadAhead(const connection& conn)
+{
+    return conn.phase != connection_phase::lingering && conn.pipelined.size() >= maxReadAheadBytes;
+}
+
+/// Reads on when the bytes that were read ahead have been used.
+void http_server::state::resumeReading(connection& conn)
+{
+    if (!conn.readingPaused || hasReadAhead(conn))
+        return;
+    conn.readingPaused = false;
+    loop.callAt(bootTime(), [this, serial = conn.serial] {
+        if (connections.contains(serial))
+            handleReady(serial, EPOLLIN);
+    });
+}
+
+/// Takes what the connection holds for its client from the budget of responses.
+void http_server::state::accountHeld(connection& conn)
+{
+    conn.response.resize(conn.out.heldBytes() + conn.pipelined.size());
+}
+
+/// Closes the connection that has held most bytes of a response for longest, counted in bytes times time, among those
+/// whose response began at least minAge ago. Returns false if there is none.
+bool http_server::state::closeGreediest(duration minAge, std::uint64_t except)
+{
+    const auto now = bootTime();
+    const connection* greediest = nullptr;
+    double most = 0;
+    for (const auto& [serial, conn] : connections) {
+        const auto age = now - conn.responseStart;
+        if (conn.phase != connection_phase::writingResponse || serial == except || age < minAge)
+            continue;
+        const double held = static_cast<double>(conn.response.bytes())
+            * static_cast<double>(std::max(age, duration(std::chrono::milliseconds(1))).count());
+        if (!greediest || held > most) {
+            greediest = &conn;
+            most = held;
+        }
+    }
+    if (!greediest)
+        return false;
+    if (callbacks.unread)
+        callbacks.unread(greediest->response.bytes(), now - greediest->responseStart);
+    closeConnection(greediest->serial);
+    return true;
+}
+
 /// Returns whether the connection can stay open.
 bool http_server::state::readInput(connection& conn, std::uint32_t events)
 {
-    bool overflow = false;
-    const auto outcome = readAll(conn.socket.get(), events, [&](std::string_view chunk) {
+    bool blankLines = false;
+    conn.readingPaused = hasReadAhead(conn);
+    if (conn.readingPaused)
+        return (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0;
+    const bool readsBody = conn.phase == connection_phase::reading && conn.reader.headersComplete();
+    const auto maxChunkBytes = readsBody ? bodyChunkBytes : maxReadAheadBytes;
+    const auto onChunk = [&](std::string_view chunk) {
         if (conn.phase == connection_phase::lingering)
             return true;
         if (conn.phase == connection_phase::reading && conn.pipelined.empty()) {
@@ -213,12 +283,19 @@
                 conn.phaseStart = bootTime();
             const auto used = conn.reader.state() == reader_state::reading ? conn.reader.feed(chunk) : 0;
             chunk.remove_prefix(std::min(used, chunk.size()));
+            if (!conn.reader.started())
+                conn.leadingBytes += used;
+            blankLines = conn.leadingBytes > maxLeadingBytes;
         }
         conn.pipelined += chunk;
-        overflow = conn.pipelined.size() > maxPipelinedBytes + limits.maxBodyBytes;
-        return !overflow;
-    });
-    if (outcome == read_outcome::broken || overflow)
+        conn.readingPaused = hasReadAhead(conn);
+        return !blankLines && !conn.readingPaused;
+    };
+    const auto outcome = readAll(conn.socket.get(), events, onChunk, maxChunkBytes);
+    const bool endsWhilePaused = conn.readingPaused && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    if (endsWhilePaused)
+        return false;
+    if (outcome == read_outcome::broken || blankLines)
         return false;
     if (outcome == read_outcome::more)
         loop.callAt(bootTime(), [this, serial = conn.serial, events] {
@@ -246,7 +323,9 @@
     if (!conn.pipelined.empty() && conn.reader.state() == reader_state::reading) {
         const auto used = conn.reader.feed(conn.pipelined);
         conn.pipelined.erase(0, used);
+        accountHeld(conn);
     }
+    resumeReading(conn);
     if (conn.reader.state() == reader_state::complete) {
         dispatchRequest(conn);
         return;
@@ -332,27 +411,35 @@
     conn.out.add(head);
     if (response.body)
         conn.out.add(*response.body);
-    conn.response.add(conn.out.size());
     conn.phase = connection_phase::writingResponse;
     conn.phaseStart = bootTime();
-    flush(conn.serial);
+    conn.responseStart = conn.phaseStart;
+    accountHeld(conn);
+    const auto serial = conn.serial;
+    flush(serial);
+    while (responseBudget && responseBudget->used() > responseBudget->limit() && closeGreediest(duration(0), serial)) {
+    }
 }
 
 void http_server::state::flush(std::uint64_t serial)
 {
     auto& conn = connections.at(serial);
+    const auto before = conn.out.size();
     if (!conn.out.flush(conn.socket.get())) {
         closeConnection(serial);
         return;
     }
+    if (conn.out.size() < before)
+        conn.phaseStart = bootTime();
+    accountHeld(conn);
     if (conn.phase != connection_phase::writingResponse || !conn.out.empty())
         return;
     conn.phaseStart = bootTime();
-    conn.response.clear();
     if (conn.closeAfterResponse || conn.inputEnded) {
         shutdown(conn.socket.get(), SHUT_WR);
         conn.phase = connection_phase::lingering;
         conn.pipelined.clear();
+        accountHeld(conn);
         if (conn.inputEnded)
             closeConnection(serial);
         return;
@@ -360,6 +447,7 @@
     conn.phase = connection_phase::reading;
     conn.reader.setLimits(limits.maxHeaderBytes, limits.maxBodyBytes);
     conn.reader.restart();
+    conn.leadingBytes = 0;
     // The next request may already be buffered. It is handled in a later iteration to avoid recursion.
     if (!conn.pipelined.empty())
         loop.callAt(bootTime(), [this, serial] { processInput(serial); });
@@ -397,6 +485,7 @@
         sendError(connections.at(serial), { 408, "send the whole request sooner" });
     for (const auto serial : expired)
         closeConnection(serial);
+    while (responseBudget && responseBudget->scarce() && closeGreediest(maxResponseAge, 0)) { }
     timeoutCheckTimer = loop.callAt(now + timeoutCheckInterval, [this] { checkTimeouts(); });
 }
 
--- a/src/libproxy/sockets.cpp
+++ b/src/libproxy/sockets.cpp
@@ -13,7 +13,8 @@
 namespace {
 
     constexpr int acceptBacklog = 4096;
-    constexpr std::size_t readChunkBytes = 64 * 1024;
+    // Capacity that an empty buffer keeps, and sent bytes that another one may keep.
+    constexpr std::size_t maxRetainedBytes = 64 * 1024;
     // A peer that sends without end must not keep the event loop from other connections.
     constexpr unsigned maxChunksPerRead = 4;
 
@@ -141,12 +142,13 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
 }
 
-read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk)
+read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk,
+    std::size_t maxChunkBytes)
 {
     const bool endOfStreamSignaled = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     static thread_local std::array<char, readChunkBytes> buffer;
     for (unsigned chunk = 0; chunk < maxChunksPerRead; ++chunk) {
-        const auto count = recv(descriptor, buffer.data(), buffer.size(), 0);
+        const auto count = recv(descriptor, buffer.data(), std::min(maxChunkBytes, buffer.size()), 0);
         if (count == 0)
             return read_outcome::ended;
         if (count < 0)
@@ -155,7 +157,7 @@
         if (!onChunk({ buffer.data(), received }))
             return read_outcome::drained;
         // With edge-triggered events, bytes that arrive after a short read raise a new event.
-        if (received < buffer.size() && !endOfStreamSignaled)
+        if (received < std::min(maxChunkBytes, buffer.size()) && !endOfStreamSignaled)
             return read_outcome::drained;
     }
     return read_outcome::more;
@@ -172,14 +174,24 @@
     }
     if (empty())
         clear();
+    else
+        dropSent();
     return true;
 }
 
+/// Gives back the memory of sent bytes. Each byte is moved once on average, since half of the buffer is dropped.
+void write_buffer::dropSent()
+{
+    if (m_sentBytes <= std::max(size(), maxRetainedBytes))
+        return;
+    m_bytes = m_bytes.substr(m_sentBytes);
+    m_sentBytes = 0;
+}
+
 void write_buffer::clear()
 {
     m_bytes.clear();
     m_sentBytes = 0;
-    constexpr std::size_t maxRetainedBytes = 64 * 1024;
     if (m_bytes.capacity() > maxRetainedBytes)
         m_bytes.shrink_to_fit();
 }
--- a/src/libproxy/sockets.h
+++ b/src/libproxy/sockets.h
@@ -30,6 +30,8 @@
 /// Returns whether a connect begun by startConnect() succeeded.
 bool connectSucceeded(int descriptor);
 
+/// Largest chunk of readAll().
+constexpr std::size_t readChunkBytes = 64 * 1024;
 /// drained: no more bytes are available at present, or the callback stopped the reading. more: the bound of one call
 /// was reached; the caller must read again, since no new event may arise. ended: the peer has shut down its sending
 /// side. broken: the connection failed.
@@ -37,7 +39,9 @@
 /// Reads the available bytes, up to a bound that lets the event loop serve other descriptors in between, and passes
 /// each chunk to the callback, which returns whether to continue. If the epoll events signal the end of the stream,
 /// reads up to that end.
-read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk);
+/// maxChunkBytes: of one chunk, at most readChunkBytes.
+read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk,
+    std::size_t maxChunkBytes = readChunkBytes);
 
 /// Buffer of bytes that are yet to be sent.
 class write_buffer {
@@ -45,11 +49,15 @@
     void add(std::string_view bytes) { m_bytes.append(bytes); }
     bool empty() const { return m_sentBytes == m_bytes.size(); }
     std::size_t size() const { return m_bytes.size() - m_sentBytes; }
+    /// Memory that the buffer takes, with bytes that were sent already.
+    std::size_t heldBytes() const { return m_bytes.size(); }
     /// Writes as much as the descriptor accepts, up to maxBytes. Returns false if the connection is broken.
     bool flush(int descriptor, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
     void clear();
 
 private:
+    void dropSent();
+
     std::string m_bytes;
     std::size_t m_sentBytes = 0;
 };
