--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -270,6 +270,15 @@
     void resetAdmission(unsigned slots, time_point now);
     void resizeAdmission(unsigned slots, time_point now, actions& out);
     unsigned assumedSlots() const;
+    bool isSilent(const serving_call& call, time_point now) const;
+    double measureSilence(time_point now) const;
+    void refuseQueued(refusal_reason reason, time_point now, actions& out);
+    bool canServe(time_point now) const;
+    time_point servingDeadline() const;
+    void recordOutcome(double failure, duration elapsed);
+    endpoint_load ownLoad() const;
+    serving_call removeServing(std::uint64_t servingId);
+    void endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out);
 
     // ---- Cold start of the local backend server (cold_start.cpp) ----
     bool paced = false; ///< its calls are started at the pace of a cold backend server
@@ -291,17 +300,6 @@
     void mergeEvacuations(const evacuations_read& read, time_point now, actions& out);
     void reportEvacuations(wire::status_data& status) const;
 
-    // ---- The local backend server, continued ----
-    bool isSilent(const serving_call& call, time_point now) const;
-    double measureSilence(time_point now) const;
-    void refuseQueued(refusal_reason reason, time_point now, actions& out);
-    bool canServe(time_point now) const;
-    time_point servingDeadline() const;
-    void recordOutcome(double failure, duration elapsed);
-    endpoint_load ownLoad() const;
-    serving_call removeServing(std::uint64_t servingId);
-    void endExecution(std::uint64_t servingId, const serving_call& call, time_point now, actions& out);
-
     // ---- Links (transit.cpp) ----
     std::unordered_map<std::uint64_t, link_state> links;
 
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -292,6 +292,7 @@
         return !blankLines && !conn.readingPaused;
     };
     const auto outcome = readAll(conn.socket.get(), events, onChunk, maxChunkBytes);
+    accountHeld(conn);
     const bool endsWhilePaused = conn.readingPaused && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     if (endsWhilePaused)
         return false;
