Look up the bounds of cold servers once, and drop what stood twice

A node searched its service by name at each turn of its loop, also where no service states bounds for cold servers; now at a new configuration or backend server. The pace is not touched where none is in force. evacuations_read holds what evacuation_set repeated. The two refusals for lack of memory share makeRetryAfter(). An alias of a constant and two includes without use are gone.

--- a/src/libmesh/backend.cpp
+++ b/src/libmesh/backend.cpp
@@ -127,6 +127,7 @@
     candidate.checkAt = time_point::max();
     self.backendId = report.id;
     self.service = report.service;
+    updateColdBounds();
     self.slots = report.slots;
     resetAdmission(report.slots, now);
     coldReported(report.coldRemaining, now, out);
--- a/src/libmesh/cold_start.cpp
+++ b/src/libmesh/cold_start.cpp
@@ -15,11 +15,11 @@
 
 } // namespace
 
-/// Returns the bounds on a cold backend server of the service, or nullptr if it has none.
-const service* node::state::coldBounds() const
+/// Looks up the bounds on a cold backend server after the configuration or the service has changed.
+void node::state::updateColdBounds()
 {
-    const auto* bounds = config ? config->findService(self.service) : nullptr;
-    return bounds && bounds->coldCallsPerSecond > 0 ? bounds : nullptr;
+    const auto* found = config ? config->findService(self.service) : nullptr;
+    coldBounds = found && found->coldCallsPerSecond > 0 ? found : nullptr;
 }
 
 /// Handles how much longer the backend server says that its cold start lasts.
@@ -35,12 +35,11 @@
 /// reason: for the log.
 void node::state::assumeCold(std::string_view reason, time_point now, actions& out)
 {
-    const auto* bounds = coldBounds();
-    if (!bounds || backend.id.empty())
+    if (!coldBounds || backend.id.empty())
         return;
     if (self.coldUntil <= now)
         log(out, "cold_assumed", { { "backend", backend.id }, { "reason", std::string(reason) } });
-    self.coldUntil = std::max(self.coldUntil, now + bounds->coldTime);
+    self.coldUntil = std::max(self.coldUntil, now + coldBounds->coldTime);
     if (nextWarmthCheckAt == time_point::max())
         nextWarmthCheckAt = now;
     updatePace(now, out);
@@ -52,7 +51,7 @@
     if (now < nextWarmthTimer())
         return;
     nextWarmthCheckAt = now + warmthCheckInterval;
-    out.emplace_back(check_backend { coldBounds()->healthPath });
+    out.emplace_back(check_backend { coldBounds->healthPath });
 }
 
 /// Handles the response of a backend server that was asked whether it is cold. One that is silent may start again at
@@ -70,8 +69,7 @@
 /// Returns when the backend server has to be asked next whether it is cold.
 time_point node::state::nextWarmthTimer() const
 {
-    const auto* bounds = coldBounds();
-    if (!bounds || bounds->healthPath.empty() || backend.id.empty() || backend.draining || !backend.reachable)
+    if (!coldBounds || coldBounds->healthPath.empty() || backend.id.empty() || backend.draining || !backend.reachable)
         return time_point::max();
     const auto overdueAt = lastWarmthReport + options.tuning.heartbeatTimeout;
     return nextWarmthCheckAt == time_point::max() ? overdueAt : nextWarmthCheckAt;
@@ -80,8 +78,9 @@
 /// Applies the pace for a cold backend server, or ends it.
 void node::state::updatePace(time_point now, actions& out)
 {
-    const auto* bounds = coldBounds();
-    const bool cold = bounds && self.coldUntil > now;
+    const bool cold = coldBounds && self.coldUntil > now;
+    if (!cold && !paced)
+        return;
     if (cold != paced) {
         log(out, cold ? "backend_cold" : "backend_warm",
             { { "backend", backend.id }, { "cold_ms", milliseconds(cold ? self.coldUntil - now : duration(0)) },
@@ -96,23 +95,22 @@
 /// Returns the pace for the local backend server if it is cold.
 std::optional<start_pace> node::state::coldPace() const
 {
-    const auto* bounds = paced ? coldBounds() : nullptr;
-    if (!bounds)
+    if (!paced || !coldBounds)
         return std::nullopt;
-    const double excess = bounds->coldCallsPerSecond * (options.tuning.coldOverage - 1) + options.tuning.coldReserve;
-    return start_pace { bounds->coldCallsPerSecond, std::max(1.0, excess * usedExcess) };
+    const double excess
+        = coldBounds->coldCallsPerSecond * (options.tuning.coldOverage - 1) + options.tuning.coldReserve;
+    return start_pace { coldBounds->coldCallsPerSecond, std::max(1.0, excess * usedExcess) };
 }
 
 /// Returns the concurrency that a cold backend server sustains, which other nodes see as its limit.
 unsigned node::state::pacedLimit() const
 {
-    const auto* bounds = paced ? coldBounds() : nullptr;
-    if (!bounds)
+    if (!paced || !coldBounds)
         return admissionControl.limit();
     const double seconds = std::chrono::duration<double>(
         latency > 0 ? duration(std::llround(latency)) : options.loadBalancing.defaultLatency)
                                .count();
-    const auto sustained = static_cast<unsigned>(std::ceil(bounds->coldCallsPerSecond * seconds));
+    const auto sustained = static_cast<unsigned>(std::ceil(coldBounds->coldCallsPerSecond * seconds));
     return std::clamp(sustained, 1U, admissionControl.limit());
 }
 
--- a/src/libmesh/configuration_source.cpp
+++ b/src/libmesh/configuration_source.cpp
@@ -227,6 +227,7 @@
     rates.configure(config->content().teams, now);
     serviceCredit.clear();
     urgentStatusDue = true;
+    updateColdBounds();
     updatePace(now, out);
     checkCandidate(now, out);
 }
--- a/src/libmesh/evacuation.cpp
+++ b/src/libmesh/evacuation.cpp
@@ -7,7 +7,7 @@
 namespace limpet::mesh {
 namespace {
 
-    std::string join(const std::set<std::string>& names)
+    std::string join(const std::vector<std::string>& names)
     {
         std::string joined;
         for (const auto& each : names)
@@ -23,7 +23,10 @@
 
 } // namespace
 
-bool node::state::isEvacuated(const std::string& zone) const { return evacuations.zones.contains(zone); }
+bool node::state::isEvacuated(const std::string& zone) const
+{
+    return std::find(evacuations.zones.begin(), evacuations.zones.end(), zone) != evacuations.zones.end();
+}
 
 /// Takes the evacuations that the store held at a position, unless later ones are known.
 void node::state::mergeEvacuations(const evacuations_read& read, time_point now, actions& out)
@@ -31,14 +34,13 @@
     if (!isLater(read.position, evacuations.position))
         return;
     evacuations.position = read.position;
-    const std::set<std::string> zones(read.zones.begin(), read.zones.end());
-    if (zones == evacuations.zones)
+    if (read.zones == evacuations.zones)
         return;
     const auto& own = options.availabilityZone;
     const bool wasEvacuated = isEvacuated(own);
-    evacuations.zones = zones;
+    evacuations.zones = read.zones;
     log(out, "evacuations",
-        { { "zones", join(zones) }, { "revision", std::to_string(read.position.revision) },
+        { { "zones", join(read.zones) }, { "revision", std::to_string(read.position.revision) },
             { "era", std::to_string(read.position.era) } });
     urgentStatusDue = true;
     if (isEvacuated(own) && !wasEvacuated)
@@ -53,7 +55,7 @@
 {
     status.evacuations_revision = evacuations.position.revision;
     status.evacuations_era = evacuations.position.era;
-    status.evacuated.assign(evacuations.zones.begin(), evacuations.zones.end());
+    status.evacuated = evacuations.zones;
 }
 
 } // namespace limpet::mesh
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -143,12 +143,6 @@
     unsigned checks = 0;
 };
 
-/// The evacuated availability zones, and the position in the store at which they were read.
-struct evacuation_set {
-    store_position position;
-    std::set<std::string> zones;
-};
-
 /// The local backend server in use.
 struct local_backend {
     std::string id;
@@ -284,7 +278,8 @@
     bool paced = false; ///< its calls are started at the pace of a cold backend server
     time_point lastWarmthReport {}; ///< when it last said whether it is cold
     time_point nextWarmthCheckAt = time_point::max(); ///< of one that is asked for it; max: it reported in time
-    const mesh::service* coldBounds() const;
+    const mesh::service* coldBounds = nullptr; ///< in config, of a service that states them; nullptr: none
+    void updateColdBounds();
     void coldReported(duration remaining, time_point now, actions& out);
     void assumeCold(std::string_view reason, time_point now, actions& out);
     void checkWarmth(time_point now, actions& out);
@@ -295,7 +290,7 @@
     unsigned pacedLimit() const;
 
     // ---- Evacuation of availability zones (evacuation.cpp) ----
-    evacuation_set evacuations;
+    evacuations_read evacuations; ///< the latest that are known
     bool isEvacuated(const std::string& zone) const;
     void mergeEvacuations(const evacuations_read& read, time_point now, actions& out);
     void reportEvacuations(wire::status_data& status) const;
--- a/src/libproxy/body_budget.cpp
+++ b/src/libproxy/body_budget.cpp
@@ -71,4 +71,11 @@
     m_bytes = 0;
 }
 
+header makeRetryAfter(body_budget& budget, std::size_t bytes, time_point now)
+{
+    constexpr std::size_t digits = 5;
+    const std::chrono::duration<double> wait(budget.timeUntilFree(bytes, now));
+    return { "Retry-After", std::to_string(wait.count()).substr(0, digits) };
+}
+
 } // namespace limpet::proxy
--- a/src/libproxy/body_budget.h
+++ b/src/libproxy/body_budget.h
@@ -78,4 +78,7 @@
     std::size_t m_bytes = 0;
 };
 
+/// Returns a Retry-After header for a refusal until that many bytes of the budget are free.
+header makeRetryAfter(body_budget& budget, std::size_t bytes, time_point now);
+
 } // namespace limpet::proxy
--- a/src/libproxy/daemon_requests.cpp
+++ b/src/libproxy/daemon_requests.cpp
@@ -71,12 +71,11 @@
 void mesh_daemon::state::refuseForUnreadResponses(std::uint64_t exchange, const http_request& request)
 {
     const auto* id = findHeader(request.headers, adapter.headers.requestId);
-    const std::chrono::duration<double> wait(responses.timeUntilFree(0, bootTime()));
     logEvent({ "request_rejected",
         { { "id", id ? *id : "" }, { "status", std::to_string(statusUnavailable) },
             { "held_bytes", std::to_string(responses.used()) } } });
     auto refusal = textResponse(statusUnavailable, "too many responses are unread; try again later\n");
-    refusal.headers.push_back({ "Retry-After", std::to_string(wait.count()).substr(0, 5) });
+    refusal.headers.push_back(makeRetryAfter(responses, 0, bootTime()));
     clientServer.respond(exchange, refusal);
 }
 
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -16,7 +16,6 @@
     constexpr duration lingerTimeout = std::chrono::seconds(1);
     // Bytes of further requests that are read while one is in progress; the rest waits in the network.
     constexpr std::size_t maxReadAheadBytes = 16 * 1024;
-    constexpr std::size_t bodyChunkBytes = readChunkBytes; ///< of one read of a body
     // Bytes of empty lines before a request.
     constexpr std::size_t maxLeadingBytes = 1024;
     // A response counts as held by its client from this time on.
@@ -274,7 +273,7 @@
     if (conn.readingPaused)
         return (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0;
     const bool readsBody = conn.phase == connection_phase::reading && conn.reader.headersComplete();
-    const auto maxChunkBytes = readsBody ? bodyChunkBytes : maxReadAheadBytes;
+    const auto maxChunkBytes = readsBody ? readChunkBytes : maxReadAheadBytes;
     const auto onChunk = [&](std::string_view chunk) {
         if (conn.phase == connection_phase::lingering)
             return true;
@@ -368,10 +367,9 @@
 {
     const auto* length = findHeader(conn.reader.headers(), "Content-Length");
     const auto bytes = length ? std::strtoull(length->c_str(), nullptr, 10) : 0;
-    const auto wait = std::chrono::duration<double>(budget->timeUntilFree(bytes, bootTime()));
     http_answer response;
     response.status = 503;
-    response.headers.push_back({ "Retry-After", std::to_string(wait.count()).substr(0, 5) });
+    response.headers.push_back(makeRetryAfter(*budget, bytes, bootTime()));
     response.body = makeBytes("too many bytes are being uploaded; try again later\n");
     if (callbacks.rejected)
         callbacks.rejected(response.status, conn.reader.headers());
