--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -666,8 +666,10 @@
             return {};
         const std::vector<std::pair<std::string, std::string>> headers { { "X-Request-Id", id },
             { "X-Response-Signature", m_options.id + "." + id } };
-        return now() < until ? response(504, "", headers)
-                             : response(200, "answer of " + m_options.id + " to " + id, headers);
+        if (now() < until)
+            return response(504, "", headers);
+        const bool bodyWanted = request.word(0) != "HEAD";
+        return response(200, bodyWanted ? "answer of " + m_options.id + " to " + id : "", headers);
     }
     void beat()
     {
