--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -24,6 +24,7 @@
 #include <poll.h>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -981,6 +982,7 @@
     }
     static void prepareChild(const std::string& log)
     {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // it must not outlive the script
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(out, 1);
         dup2(out, 2);
