--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <functional>
 #include <list>
 #include <map>
@@ -835,8 +836,10 @@
 inline const std::string& folder()
 {
     static const std::string path = [] {
-        char name[] = "/tmp/limpet-review-XXXXXX";
-        return std::string(mkdtemp(name));
+        std::string name = (std::filesystem::temp_directory_path() / "limpet-review-XXXXXX").string();
+        if (!mkdtemp(name.data()))
+            cannotRun("no temporary folder can be made");
+        return name;
     }();
     return path;
 }
