Answer requests that no server has begun before a planned stop ends

Cause: the daemon ended at a fixed time whatever was in progress, and the decision logic did not know that time. Logs of the case on: the stop line has idle 0 and in_flight 12; the node beside the server has no line for the orders in its queue before the link closes, so it had not dropped them; SIGKILL and the orders' own deadline are later.

Change: leave_request says when answers end. Calls that could no longer end by then are neither sent nor started. Those that wait at another node are recalled (a new frame, ignored by nodes that do not know it): it takes them out of its queue as not executed, or lets them run. Their clients get a true 503 with time left. What may have begun is waited for, then gets 502. The margins shrink with a short stop time, stopping logs both times, and a call that was only rejected so far counts as not executed.

--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -348,7 +348,10 @@
     bool reachable = true;
 };
 /// Starts a planned shutdown.
-struct leave_request { };
+struct leave_request {
+    /// When the node answers the requests that are left, whatever is in progress; max: never.
+    time_point answersEndAt = time_point::max();
+};
 struct tuning_changed {
     node_tuning tuning;
 };
--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -372,7 +372,8 @@
     socket_address backendAddress; ///< of the local backend server
     socket_address storeAddress;
     duration drainTime { 0 }; ///< from the drain acknowledgement until the last call may be sent to the backend server
-    duration stopTime { 0 }; ///< a process that is still stopping after this time is killed from outside
+    /// A process that is still stopping after this time is killed from outside.
+    duration stopTime = std::chrono::seconds(6);
     double retryRatio = 0.2; ///< bound on the retries to a service, as a fraction of its requests
     double retryReserve = 50; ///< additional retries that the bound allows, over all nodes
     std::size_t maxDescriptors = 1024; ///< of the process
--- a/src/libmesh/backend.cpp
+++ b/src/libmesh/backend.cpp
@@ -5,11 +5,13 @@
 
 namespace limpet::mesh {
 
-/// Returns the time from which calls that have not started are refused.
+/// Returns the time from which calls that have not started are refused: their backend server drains, or this node would
+/// end before they do.
 time_point node::state::servingDeadline() const
 {
-    return backend.draining ? backend.drainStartedAt + options.tuning.drainTime - options.drainMargin
-                            : time_point::max();
+    const auto drainEnd = backend.draining ? backend.drainStartedAt + options.tuning.drainTime - options.drainMargin
+                                           : time_point::max();
+    return std::min(drainEnd, lastStart(executionTimeAt(options.name)));
 }
 
 bool node::state::canServe(time_point now) const
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -197,12 +197,14 @@
             deliver(call, std::move(*call.fallback), "backend-failure", now, out);
             return;
         }
-        const bool retryable = call.matchedRoute->idempotent || call.reached.empty() || call.refusals > 0;
+        const bool retryable = call.matchedRoute->idempotent || call.reached == call.rejectedBy || call.refusals > 0;
         if (!retryable) {
             answerWithRefusal(call, refusal_reason::connectionLost, duration(0), now, out);
             return;
         }
-        const auto reason = call.refusals > 0 ? refusal_reason::overloaded : refusal_reason::noBackendServer;
+        const auto reason = self.leaving ? refusal_reason::draining
+            : call.refusals > 0          ? refusal_reason::overloaded
+                                         : refusal_reason::noBackendServer;
         answerWithRefusal(call, reason, std::max(call.retryAfter, defaultRetryAfter), now, out);
         return;
     }
--- a/src/libmesh/members.cpp
+++ b/src/libmesh/members.cpp
@@ -77,6 +77,8 @@
         callConfirmed(received, *frame.confirmation, age, frame.sent_ms, now, out);
     if (frame.cancel)
         cancelReceived({ received.link, frame.cancel->id }, now, out);
+    if (frame.recall)
+        recallReceived({ received.link, frame.recall->id }, now, out);
     if (frame.answer) {
         updateLoad(frame.answer->load);
         http_answer answer;
--- a/src/libmesh/mesh_generated.h
+++ b/src/libmesh/mesh_generated.h
@@ -38,6 +38,10 @@
         struct call_cancelBuilder;
         struct call_cancel_data;
 
+        struct call_recall;
+        struct call_recallBuilder;
+        struct call_recall_data;
+
         struct call_check;
         struct call_checkBuilder;
         struct call_check_data;
@@ -774,6 +778,54 @@
         flatbuffers::Offset<call_cancel> Createcall_cancel(flatbuffers::FlatBufferBuilder& _fbb,
             const call_cancel_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
 
+        struct call_recall_data : public flatbuffers::NativeTable {
+            typedef call_recall TableType;
+            uint64_t id = 0;
+        };
+
+        struct call_recall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+            typedef call_recall_data NativeTableType;
+            typedef call_recallBuilder Builder;
+            enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ID = 4 };
+            uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
+            bool Verify(flatbuffers::Verifier& verifier) const
+            {
+                return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_ID, 8) && verifier.EndTable();
+            }
+            call_recall_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            void UnPackTo(call_recall_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+            static flatbuffers::Offset<call_recall> Pack(flatbuffers::FlatBufferBuilder& _fbb,
+                const call_recall_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+        };
+
+        struct call_recallBuilder {
+            typedef call_recall Table;
+            flatbuffers::FlatBufferBuilder& fbb_;
+            flatbuffers::uoffset_t start_;
+            void add_id(uint64_t id) { fbb_.AddElement<uint64_t>(call_recall::VT_ID, id, 0); }
+            explicit call_recallBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+                : fbb_(_fbb)
+            {
+                start_ = fbb_.StartTable();
+            }
+            flatbuffers::Offset<call_recall> Finish()
+            {
+                const auto end = fbb_.EndTable(start_);
+                auto o = flatbuffers::Offset<call_recall>(end);
+                return o;
+            }
+        };
+
+        inline flatbuffers::Offset<call_recall> Createcall_recall(flatbuffers::FlatBufferBuilder& _fbb, uint64_t id = 0)
+        {
+            call_recallBuilder builder_(_fbb);
+            builder_.add_id(id);
+            return builder_.Finish();
+        }
+
+        flatbuffers::Offset<call_recall> Createcall_recall(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_recall_data* _o, const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
         struct call_check_data : public flatbuffers::NativeTable {
             typedef call_check TableType;
             uint64_t id = 0;
@@ -1013,6 +1065,7 @@
             uint32_t sent_ms = 0;
             std::unique_ptr<limpet::mesh::wire::call_check_data> check {};
             std::unique_ptr<limpet::mesh::wire::call_confirmation_data> confirmation {};
+            std::unique_ptr<limpet::mesh::wire::call_recall_data> recall {};
             frame_data() = default;
             frame_data(const frame_data& o);
             frame_data(frame_data&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1031,7 +1084,8 @@
                 VT_CONFIGURATION_PUSH = 14,
                 VT_SENT_MS = 16,
                 VT_CHECK = 18,
-                VT_CONFIRMATION = 20
+                VT_CONFIRMATION = 20,
+                VT_RECALL = 22
             };
             const limpet::mesh::wire::call_request* call() const
             {
@@ -1066,6 +1120,10 @@
             {
                 return GetPointer<const limpet::mesh::wire::call_confirmation*>(VT_CONFIRMATION);
             }
+            const limpet::mesh::wire::call_recall* recall() const
+            {
+                return GetPointer<const limpet::mesh::wire::call_recall*>(VT_RECALL);
+            }
             bool Verify(flatbuffers::Verifier& verifier) const
             {
                 return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_CALL) && verifier.VerifyTable(call())
@@ -1076,7 +1134,8 @@
                     && VerifyOffset(verifier, VT_CONFIGURATION_PUSH) && verifier.VerifyTable(configuration_push())
                     && VerifyField<uint32_t>(verifier, VT_SENT_MS, 4) && VerifyOffset(verifier, VT_CHECK)
                     && verifier.VerifyTable(check()) && VerifyOffset(verifier, VT_CONFIRMATION)
-                    && verifier.VerifyTable(confirmation()) && verifier.EndTable();
+                    && verifier.VerifyTable(confirmation()) && VerifyOffset(verifier, VT_RECALL)
+                    && verifier.VerifyTable(recall()) && verifier.EndTable();
             }
             frame_data* UnPack(const flatbuffers::resolver_function_t* _resolver = nullptr) const;
             void UnPackTo(frame_data* _o, const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -1122,6 +1181,10 @@
             {
                 fbb_.AddOffset(frame::VT_CONFIRMATION, confirmation);
             }
+            void add_recall(flatbuffers::Offset<limpet::mesh::wire::call_recall> recall)
+            {
+                fbb_.AddOffset(frame::VT_RECALL, recall);
+            }
             explicit frameBuilder(flatbuffers::FlatBufferBuilder& _fbb)
                 : fbb_(_fbb)
             {
@@ -1143,9 +1206,11 @@
             flatbuffers::Offset<limpet::mesh::wire::configuration_request> configuration_pull = 0,
             flatbuffers::Offset<limpet::mesh::wire::configuration_copy> configuration_push = 0, uint32_t sent_ms = 0,
             flatbuffers::Offset<limpet::mesh::wire::call_check> check = 0,
-            flatbuffers::Offset<limpet::mesh::wire::call_confirmation> confirmation = 0)
+            flatbuffers::Offset<limpet::mesh::wire::call_confirmation> confirmation = 0,
+            flatbuffers::Offset<limpet::mesh::wire::call_recall> recall = 0)
         {
             frameBuilder builder_(_fbb);
+            builder_.add_recall(recall);
             builder_.add_confirmation(confirmation);
             builder_.add_check(check);
             builder_.add_sent_ms(sent_ms);
@@ -2174,6 +2239,44 @@
             return limpet::mesh::wire::Createcall_cancel(_fbb, _id);
         }
 
+        inline call_recall_data* call_recall::UnPack(const flatbuffers::resolver_function_t* _resolver) const
+        {
+            auto _o = std::unique_ptr<call_recall_data>(new call_recall_data());
+            UnPackTo(_o.get(), _resolver);
+            return _o.release();
+        }
+
+        inline void call_recall::UnPackTo(call_recall_data* _o, const flatbuffers::resolver_function_t* _resolver) const
+        {
+            (void)_o;
+            (void)_resolver;
+            {
+                auto _e = id();
+                _o->id = _e;
+            }
+        }
+
+        inline flatbuffers::Offset<call_recall> call_recall::Pack(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_recall_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            return Createcall_recall(_fbb, _o, _rehasher);
+        }
+
+        inline flatbuffers::Offset<call_recall> Createcall_recall(flatbuffers::FlatBufferBuilder& _fbb,
+            const call_recall_data* _o, const flatbuffers::rehasher_function_t* _rehasher)
+        {
+            (void)_rehasher;
+            (void)_o;
+            struct _VectorArgs {
+                flatbuffers::FlatBufferBuilder* __fbb;
+                const call_recall_data* __o;
+                const flatbuffers::rehasher_function_t* __rehasher;
+            } _va = { &_fbb, _o, _rehasher };
+            (void)_va;
+            auto _id = _o->id;
+            return limpet::mesh::wire::Createcall_recall(_fbb, _id);
+        }
+
         inline call_check_data* call_check::UnPack(const flatbuffers::resolver_function_t* _resolver) const
         {
             auto _o = std::unique_ptr<call_check_data>(new call_check_data());
@@ -2355,6 +2458,7 @@
             , sent_ms(o.sent_ms)
             , check((o.check) ? new limpet::mesh::wire::call_check_data(*o.check) : nullptr)
             , confirmation((o.confirmation) ? new limpet::mesh::wire::call_confirmation_data(*o.confirmation) : nullptr)
+            , recall((o.recall) ? new limpet::mesh::wire::call_recall_data(*o.recall) : nullptr)
         {
         }
 
@@ -2369,6 +2473,7 @@
             std::swap(sent_ms, o.sent_ms);
             std::swap(check, o.check);
             std::swap(confirmation, o.confirmation);
+            std::swap(recall, o.recall);
             return *this;
         }
 
@@ -2430,6 +2535,11 @@
                     _o->confirmation
                         = std::unique_ptr<limpet::mesh::wire::call_confirmation_data>(_e->UnPack(_resolver));
             }
+            {
+                auto _e = recall();
+                if (_e)
+                    _o->recall = std::unique_ptr<limpet::mesh::wire::call_recall_data>(_e->UnPack(_resolver));
+            }
         }
 
         inline flatbuffers::Offset<frame> frame::Pack(flatbuffers::FlatBufferBuilder& _fbb, const frame_data* _o,
@@ -2462,8 +2572,9 @@
             auto _check = _o->check ? Createcall_check(_fbb, _o->check.get(), _rehasher) : 0;
             auto _confirmation
                 = _o->confirmation ? Createcall_confirmation(_fbb, _o->confirmation.get(), _rehasher) : 0;
+            auto _recall = _o->recall ? Createcall_recall(_fbb, _o->recall.get(), _rehasher) : 0;
             return limpet::mesh::wire::Createframe(_fbb, _call, _answer, _failure, _cancel, _configuration_pull,
-                _configuration_push, _sent_ms, _check, _confirmation);
+                _configuration_push, _sent_ms, _check, _confirmation, _recall);
         }
 
         inline team_use_data* team_use::UnPack(const flatbuffers::resolver_function_t* _resolver) const
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -95,12 +95,7 @@
             own.options.tuning = each.tuning;
             own.retries.configure(retryOptions(own.options));
         }
-        void operator()(const leave_request& /*each*/) const
-        {
-            own.self.leaving = true;
-            own.leaveStartedAt = std::min(own.leaveStartedAt, now);
-            own.urgentStatusDue = true;
-        }
+        void operator()(const leave_request& each) const { own.leave(each, now); }
     };
     std::visit(handler { *this, now, out }, given);
 }
@@ -118,6 +113,7 @@
     checkWarmth(now, out);
     applyAdmission(admissionControl.expire(now), now, out);
     cancelOverdueServing(now, out);
+    advanceLeaving(now, out);
     refuseUnconfirmed(now, out);
     retries.setNodeCount(peers.size() + 1);
     checkCandidate(now, out);
@@ -131,7 +127,7 @@
 
 time_point node::state::nextTimer() const
 {
-    auto next = std::min({ nextStatusAt, nextBundleAt, nextConfigurationTimer() });
+    auto next = std::min({ nextStatusAt, nextBundleAt, nextConfigurationTimer(), nextRecallAt });
     if (!deadlines.empty())
         next = std::min(next, deadlines.begin()->first);
     if (!impatience.empty())
@@ -156,11 +152,6 @@
     return next;
 }
 
-bool node::state::acceptsRequests(time_point now) const
-{
-    return leaveStartedAt == time_point::max() || now - leaveStartedAt <= options.acceptWhileLeaving;
-}
-
 node::node(node_options options)
     : m_state(std::make_unique<state>(std::move(options)))
 {
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -65,7 +65,8 @@
     const auto consider = [&](endpoint& candidate) {
         if (candidate.service != call.service || candidate.state != endpoint_state::ready || candidate.avoidUntil > now)
             return;
-        if (!isAllowedIn(call, candidate.region) || isEvacuated(candidate.availabilityZone))
+        if (!isAllowedIn(call, candidate.region) || isEvacuated(candidate.availabilityZone)
+            || !canFinishAt(candidate, now))
             return;
         const bool tried = call.tried.contains(candidate.node);
         if (tried && !call.rejectedBy.contains(candidate.node))
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -344,10 +344,15 @@
             waiting.push_back(servingId);
     }
     std::sort(waiting.begin(), waiting.end());
-    for (const auto servingId : waiting) {
-        admissionControl.cancel(admissionId(servingId));
-        refuseServing(servingId, reason, duration(0), now, out);
-    }
+    for (const auto servingId : waiting)
+        refuseWaiting(servingId, reason, now, out);
+}
+
+/// Refuses a call that has not started, and takes it out of the queue.
+void node::state::refuseWaiting(std::uint64_t servingId, refusal_reason reason, time_point now, actions& out)
+{
+    admissionControl.cancel(admissionId(servingId));
+    refuseServing(servingId, reason, duration(0), now, out);
 }
 
 /// Returns the slots assumed while the local backend server has not reported them: the least of its service.
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -46,6 +46,7 @@
     std::uint64_t id = 0;
     std::string node;
     time_point sentAt {};
+    bool recalled = false; ///< its node was asked to fail it unless it has started
 };
 
 /// A client request that has not been answered yet.
@@ -267,6 +268,7 @@
     bool isSilent(const serving_call& call, time_point now) const;
     double measureSilence(time_point now) const;
     void refuseQueued(refusal_reason reason, time_point now, actions& out);
+    void refuseWaiting(std::uint64_t servingId, refusal_reason reason, time_point now, actions& out);
     bool canServe(time_point now) const;
     time_point servingDeadline() const;
     void recordOutcome(double failure, duration elapsed);
@@ -295,6 +297,20 @@
     void mergeEvacuations(const evacuations_read& read, time_point now, actions& out);
     void reportEvacuations(wire::status_data& status) const;
 
+    // ---- Planned shutdown of this node (leaving.cpp) ----
+    time_point leaveStartedAt = time_point::max(); ///< max: none
+    time_point answersEndAt = time_point::max(); ///< of the requests in progress; max: unlimited
+    time_point nextRecallAt = time_point::max(); ///< max: not leaving, or all requests have been answered
+    void leave(const leave_request& request, time_point now);
+    bool acceptsRequests(time_point now) const;
+    time_point lastStart(duration executionTime) const;
+    bool canFinishAt(const endpoint& target, time_point now) const;
+    duration executionTimeAt(const std::string& nodeName) const;
+    void advanceLeaving(time_point now, actions& out);
+    void recallAttempts(time_point now, actions& out);
+    void endAnswers(time_point now, actions& out);
+    void recallReceived(const serving_key& key, time_point now, actions& out);
+
     // ---- Links (transit.cpp) ----
     std::unordered_map<std::uint64_t, link_state> links;
 
@@ -306,8 +322,6 @@
 
     // ---- Other nodes (members.cpp, dissemination.cpp) ----
     endpoint self;
-    time_point leaveStartedAt = time_point::max(); ///< start of the planned shutdown; max: none
-    bool acceptsRequests(time_point now) const;
     std::map<std::string, endpoint> peers; ///< by node
     std::map<socket_address, std::string> peerNameByAddress;
     std::map<socket_address, unknown_node> unknownNodes;
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -9,8 +9,12 @@
 
     // A stopping node keeps running for at least this long, so that clients and other nodes learn of the shutdown.
     constexpr duration stopGracePeriod = std::chrono::milliseconds(2300);
-    // Part of the stop time that is reserved for the last writes before the process exits.
+    // Part of the stop time that is reserved for the last writes before the process exits, and the part in which
+    // clients still receive their responses. Neither exceeds the given fraction of the stop time.
     constexpr duration stopMargin = std::chrono::milliseconds(700);
+    constexpr duration lastAnswersTime = std::chrono::milliseconds(200);
+    constexpr int stopMarginDivisor = 8;
+    constexpr int lastAnswersDivisor = 30;
 
     // Descriptors for files, listeners, the store client and the event loop.
     constexpr std::size_t reservedDescriptors = 264;
@@ -372,10 +376,15 @@
         return;
     impl.stopping = true;
     const auto now = bootTime();
-    impl.earliestQuitAt = now + stopGracePeriod;
-    impl.forcedQuitAt = now + std::max(impl.settings.stopTime - stopMargin, stopGracePeriod);
-    impl.logEvent({ "stopping", { { "in_flight", std::to_string(impl.node.statistics(bootTime()).callsInFlight) } } });
-    impl.handle(mesh::leave_request {});
+    const auto stopTime = impl.settings.stopTime;
+    impl.forcedQuitAt = now + stopTime - std::min(stopMargin, stopTime / stopMarginDivisor);
+    const auto answersEndAt = impl.forcedQuitAt - std::min(lastAnswersTime, stopTime / lastAnswersDivisor);
+    impl.earliestQuitAt = std::min(now + stopGracePeriod, answersEndAt);
+    impl.logEvent({ "stopping",
+        { { "in_flight", std::to_string(impl.node.statistics(bootTime()).callsInFlight) },
+            { "stop_time_ms", std::to_string(stopTime.count() / 1000) },
+            { "answers_end_ms", std::to_string((answersEndAt - now).count() / 1000) } } });
+    impl.handle(mesh::leave_request { answersEndAt });
     impl.clientServer.closeAfterResponses();
     mesh::registry::outcome outcome;
     impl.registry.leave(outcome);
--- a/src/libproxy/settings.cpp
+++ b/src/libproxy/settings.cpp
@@ -98,7 +98,6 @@
     reader.readAddress("backend_address", settings.backendAddress);
     reader.readAddress("store_address", settings.storeAddress);
     settings.drainTime = std::chrono::milliseconds(2500);
-    settings.stopTime = std::chrono::seconds(6);
     reader.readMilliseconds("drain_time_ms", settings.drainTime);
     reader.readMilliseconds("stop_time_ms", settings.stopTime);
     double descriptors = static_cast<double>(settings.maxDescriptors);
