Drop waiting calls of a closed link before those that run

Change: calls of the link that have not started are dropped first. leaving.callsOfAClosedLinkAreNotStartedWhenThoseBeforeThemEnd failed before (waiting calls were sent to the server) and passes now.

--- a/src/libmesh/mesh_leaving_test.cpp
+++ b/src/libmesh/mesh_leaving_test.cpp
@@ -189,6 +189,19 @@
     EXPECT_TRUE(fixture.subject.idle());
 }
 
+// Seen in review/6: when the caller's node ended, the calls that waited for it took the place of those that ran, and
+// the backend server began them for nobody.
+TEST(leaving, callsOfAClosedLinkAreNotStartedWhenThoseBeforeThemEnd)
+{
+    serving_fixture fixture(2);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        fixture.receive(serving_fixture::callFrame(id));
+    ASSERT_EQ(fixture.take<run_on_backend>().size(), 1U);
+    fixture.handle(link_closed { 7, {}, true });
+    EXPECT_TRUE(fixture.take<run_on_backend>().empty());
+    EXPECT_TRUE(fixture.subject.idle());
+}
+
 TEST(leaving, recallThatArrivesWithItsCallFailsIt)
 {
     serving_fixture fixture(10);
--- a/src/libmesh/serving.cpp
+++ b/src/libmesh/serving.cpp
@@ -329,8 +329,15 @@
 {
     for (const auto& key : keysOfLink(unconfirmedCalls, link))
         endAsking(key, "link-closed", now, out);
-    for (const auto& key : keysOfLink(servingByKey, link))
-        cancelServing(key, "link-closed", now, out);
+    // The end of a running call would start one of those that wait.
+    const auto keys = keysOfLink(servingByKey, link);
+    for (const bool started : { false, true }) {
+        for (const auto& key : keys) {
+            const auto found = servingByKey.find(key);
+            if (found != servingByKey.end() && serving.at(found->second).started == started)
+                cancelServing(key, "link-closed", now, out);
+        }
+    }
     for (const auto& key : keysOfLink(heldCalls, link))
         refuseHeld(key, now, out);
 }
