Check each second whether the watch of the configuration is silent

Cause: a poll of the watch is silent for up to 24 s by design, so a dead connection looks like a quiet one, and nothing else asked for changes. Logs: no configuration_received line at any node before the poll ends, so the change was not held up inside the nodes; renewals on other connections go on without an error.

Change: the node that watches for its zone asks the store each second, on another connection, for changes after those that it knows (store_port::checkWatch). What the watch missed is put in force, its connection is closed, and it goes on over another one; watch_silent says so. A check without a response is a call like any other that the store does not answer. Replies hold changes only, no document in a quiet second.

Cost: one small read a second and zone, whatever the size of the fleet.

--- a/src/include/limpetcroft/core.h
+++ b/src/include/limpetcroft/core.h
@@ -358,6 +358,11 @@
 };
 using store_reply = std::variant<store_get_reply, store_txn_reply, store_lease_reply>;
 
+/// What the check of a watch has found.
+struct store_watch_check {
+    std::size_t missed = 0; ///< changes that the store held and the watch had not reported
+};
+
 /// Asynchronous call to the store. The decision library that issues the call chooses the token and receives it back
 /// with the result. An error of kind error_kind::unavailable means that the call had no effect;
 /// error_kind::unknownOutcome means that it may have taken effect.
--- a/src/include/limpetcroft/mesh.h
+++ b/src/include/limpetcroft/mesh.h
@@ -112,6 +112,10 @@
         /// While the node reads the configuration for its zone: its renewals tell when the store has been restored, and
         /// a change must be in force within the bound of the configuration.
         duration readerKeepAliveInterval = std::chrono::seconds(1);
+        /// Between two checks of whether the watch of the configuration has missed a change, because its connection has
+        /// gone silent. Only the nodes that watch make them, one a zone; a change that only a check shows must still
+        /// reach the zone within the bound of the configuration.
+        duration watchCheckInterval = std::chrono::seconds(1);
         duration listInterval = std::chrono::seconds(8);
         duration retryInterval = std::chrono::milliseconds(400);
         duration rewatchDelay
@@ -129,6 +133,7 @@
         std::optional<std::string> document; ///< configuration as read from the store
         std::optional<store_position> watchFrom; ///< position from which to watch the configuration
         bool unwatch = false; ///< ends the watch of the configuration
+        std::optional<std::uint64_t> watchCheck; ///< token of a check of the watch, see watchChecked()
         std::optional<std::vector<std::string>> entries; ///< values of all node entries
         bool entriesArePreliminary = false; ///< read before the own entry was written: may be old
         std::vector<log_event> log;
@@ -148,6 +153,9 @@
     std::uint64_t storeRestores() const { return m_era.rises(); }
     /// Schedules a new read of the configuration after its watch ended.
     void watchEnded(time_point now);
+    /// Handles the outcome of a check of the watch, whose missed changes have been reported before.
+    void watchChecked(
+        std::uint64_t token, const result<store_watch_check>& check, store_era era, time_point now, outcome& out);
     /// Reads and watches the configuration while that is wanted, and for a while after. Not wanted at first.
     void readConfiguration(bool wanted, time_point now, outcome& out);
     bool storeReachable() const { return m_storeReachable; }
@@ -158,7 +166,7 @@
     time_point nextTimer() const;
 
 private:
-    enum class task_kind : std::uint8_t { configuration, evacuations, lease, entry, keepAlive, list };
+    enum class task_kind : std::uint8_t { configuration, evacuations, lease, entry, keepAlive, list, watchCheck };
     struct task {
         time_point at {}; ///< due time
         std::uint64_t token = 0; ///< of the store call in flight; 0: none
@@ -179,7 +187,7 @@
     time_point nextKeepAlive(time_point now) const;
 
     options m_options;
-    std::array<task, 6> m_tasks {};
+    std::array<task, 7> m_tasks {};
     std::uint64_t m_nextToken = 1;
     store_era_tracker m_era;
     store_lease m_lease = 0;
--- a/src/include/limpetcroft/store.h
+++ b/src/include/limpetcroft/store.h
@@ -50,6 +50,8 @@
 using store_watch_callback = std::function<void(const store_watch_event&)>;
 using store_watch_id = std::uint64_t;
 
+using store_watch_check_callback = std::function<void(result<store_watch_check>, store_era)>;
+
 /// The port. Every member returns at once; callbacks run later, on the task that drives the adapter. A port must not
 /// be used after its adapter has been destroyed.
 struct store_port {
@@ -62,6 +64,11 @@
     std::function<store_watch_id(std::string prefix, store_position from, store_watch_callback)> watch;
     /// Ends a watch; its callback does not run again. Ids of ended watches are ignored.
     std::function<void(store_watch_id)> unwatch;
+    /// Asks the store once, apart from the connection of the watch, for changes that the watch has not reported: its
+    /// connection may have gone silent. Missed changes are passed to the callback of the watch before that of the check
+    /// runs, and the watch goes on over another connection. If the check shows that the watch must end, it ends.
+    /// Errors: unavailable, malformed, notFound (no such watch). Unset in adapters that detect silence themselves.
+    std::function<void(store_watch_id, duration timeout, store_watch_check_callback)> checkWatch;
 };
 
 /// Returns the end of a watch whose revisions were given out before the store was restored.
--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -70,6 +70,9 @@
     time_point now = start;
     std::optional<store_position> watchedFrom;
     std::optional<evacuations_read> evacuations; ///< as read last
+    std::size_t watchChecks = 0;
+    std::size_t missedByWatch = 0; ///< changes, told by the next check
+    std::vector<std::string> logged; ///< because of checks of the watch
 
     registry_fixture()
     {
@@ -79,8 +82,18 @@
 
     void applyActions(mesh::registry::outcome out)
     {
-        while (!out.calls.empty()) {
+        while (!out.calls.empty() || out.watchCheck) {
             mesh::registry::outcome next;
+            if (out.watchCheck) {
+                ++watchChecks;
+                const auto missed = std::exchange(missedByWatch, 0);
+                subject.watchChecked(*out.watchCheck,
+                    store.unavailable ? result<store_watch_check>(fail(error_kind::unavailable, "down"))
+                                      : store_watch_check { missed },
+                    store.unavailable ? 0 : store.era, now, next);
+                for (const auto& each : next.log)
+                    logged.push_back(each.name);
+            }
             for (const auto& call : out.calls)
                 subject.handle({ call.token, store.answer(call.operation), store.era }, now, next);
             if (next.unwatch)
@@ -284,6 +297,54 @@
     EXPECT_EQ(configurationReads(fixture), before);
 }
 
+// review/7: a watch whose connection had gone silent was believed for up to 25 s.
+TEST(registry, checksItsWatchSoOftenThatAMissedChangeIsInTime)
+{
+    registry_fixture fixture;
+    fixture.runFor(2s);
+    const auto before = fixture.watchChecks;
+    const auto reads = configurationReads(fixture);
+    fixture.missedByWatch = 1;
+    fixture.runFor(1100ms);
+    EXPECT_GE(fixture.watchChecks, before + 1);
+    EXPECT_EQ(fixture.logged, std::vector<std::string> { "watch_silent" });
+    fixture.runFor(60s);
+    EXPECT_LE(fixture.watchChecks, before + 62) << "each check is a billed call";
+    EXPECT_EQ(configurationReads(fixture), reads) << "a check does not transfer the configuration";
+}
+
+// Only the few nodes that watch the configuration check their watch.
+TEST(registry, checksNoWatchThatHasEnded)
+{
+    registry_fixture fixture;
+    fixture.runFor(2s);
+    mesh::registry::outcome out;
+    for (int second = 0; second < 7 && !out.unwatch; ++second) {
+        fixture.subject.readConfiguration(false, fixture.now, out);
+        fixture.runFor(1s);
+    }
+    ASSERT_TRUE(out.unwatch);
+    const auto before = fixture.watchChecks;
+    fixture.runFor(10s);
+    EXPECT_EQ(fixture.watchChecks, before);
+}
+
+// While the store is away, a check is one of the calls that probe it, and none beside them.
+TEST(registry, checksItsWatchNoMoreOftenWhileTheStoreIsAway)
+{
+    registry_fixture fixture;
+    fixture.runFor(3s);
+    fixture.store.unavailable = true;
+    const auto before = fixture.watchChecks + fixture.store.seen.size();
+    fixture.runFor(4s);
+    EXPECT_LE(fixture.watchChecks + fixture.store.seen.size() - before, 12U);
+    EXPECT_FALSE(fixture.subject.storeReachable());
+    fixture.store.unavailable = false;
+    const auto reads = configurationReads(fixture);
+    fixture.runFor(1s);
+    EXPECT_EQ(configurationReads(fixture), reads + 1);
+}
+
 // A lease number of the store before it was restored may be that of another node.
 TEST(registry, leavesWithoutEndingALeaseByItsNumber)
 {
--- a/src/libmesh/registry.cpp
+++ b/src/libmesh/registry.cpp
@@ -4,7 +4,8 @@
 namespace limpet::mesh {
 namespace {
 
-    constexpr std::array<const char*, 6> taskNames { "configuration", "evacuations", "lease", "entry", "keep", "list" };
+    constexpr std::array<const char*, 7> taskNames { "configuration", "evacuations", "lease", "entry", "keep", "list",
+        "watch-check" };
     constexpr time_point never = time_point::max();
     // The first nodes of a zone may change often for a while; each change costs a read of the whole configuration.
     constexpr duration readingLinger = std::chrono::seconds(5);
@@ -18,6 +19,7 @@
     taskFor(task_kind::evacuations).at = never;
     taskFor(task_kind::entry).at = never;
     taskFor(task_kind::keepAlive).at = never;
+    taskFor(task_kind::watchCheck).at = never;
 }
 
 /// Whether the task reads what the operators have written.
@@ -44,6 +46,11 @@
         start(task_kind::configuration, store_get { m_options.configurationKey }, out);
     if (m_leftFleet)
         return;
+    if (due(task_kind::watchCheck)) {
+        auto& check = taskFor(task_kind::watchCheck);
+        check = { never, m_nextToken++ };
+        out.watchCheck = check.token;
+    }
     if (mayReadConfiguration() && due(task_kind::evacuations))
         start(task_kind::evacuations, store_get { m_options.evacuationPrefix, true }, out);
     if (due(task_kind::lease))
@@ -153,6 +160,7 @@
     taskFor(task_kind::keepAlive).at = never;
     taskFor(task_kind::configuration).at = m_readsConfiguration ? now : never;
     taskFor(task_kind::evacuations).at = never;
+    taskFor(task_kind::watchCheck).at = never;
     // The few nodes that read the configuration register at once: their renewals watch over the store.
     const double order = m_readsConfiguration ? 0 : m_options.registrationOrder;
     const std::chrono::duration<double> wait(
@@ -175,8 +183,10 @@
         if (!got->entries.empty())
             configurationChanged(got->entries.front().value, out);
         // Watch even if there is no configuration yet, to see its creation.
-        if (m_readsConfiguration)
+        if (m_readsConfiguration) {
             out.watchFrom = store_position { got->head + 1, m_era.current() };
+            taskFor(task_kind::watchCheck) = { now + m_options.watchCheckInterval, 0 };
+        }
         // After the position from which the watch reports changes.
         evacuationsChanged(now);
         break;
@@ -213,6 +223,9 @@
     case task_kind::list:
         readList(std::get<store_get_reply>(reply), now, out);
         break;
+    case task_kind::watchCheck:
+        taskFor(task_kind::watchCheck).at = now + m_options.watchCheckInterval;
+        break;
     }
 }
 
@@ -304,17 +317,28 @@
     auto& task = taskFor(task_kind::configuration);
     if (task.token == 0)
         task.at = reads ? now : never;
-    if (!reads)
+    if (!reads) {
         taskFor(task_kind::evacuations).at = never;
+        taskFor(task_kind::watchCheck) = { never, 0 };
+    }
 }
 
 void registry::watchEnded(time_point now)
 {
+    taskFor(task_kind::watchCheck) = { never, 0 };
     if (m_readsConfiguration && taskFor(task_kind::configuration).token == 0)
         taskFor(task_kind::configuration).at
             = std::min(taskFor(task_kind::configuration).at, now + m_options.rewatchDelay);
 }
 
+void registry::watchChecked(
+    std::uint64_t token, const result<store_watch_check>& check, store_era era, time_point now, outcome& out)
+{
+    if (check && check->missed > 0)
+        out.log.push_back({ "watch_silent", { { "missed", std::to_string(check->missed) } } });
+    handle({ token, check ? result<store_reply>(store_get_reply {}) : tl::unexpected(check.error()), era }, now, out);
+}
+
 void registry::leave(outcome& out)
 {
     m_leftFleet = true;
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -75,6 +75,7 @@
     void execute(mesh::registry::outcome& outcome);
     void chooseConfigurationSource();
     void startWatch(store_position from);
+    void checkWatch(std::uint64_t token);
     void reportListedNodes(const std::vector<std::string>& entries, bool preliminary);
     bool idle() const;
     void quitWhenStopped();
--- a/src/libproxy/daemon_store.cpp
+++ b/src/libproxy/daemon_store.cpp
@@ -46,6 +46,8 @@
             execute(next);
         });
     }
+    if (outcome.watchCheck)
+        checkWatch(*outcome.watchCheck);
     for (const auto& line : outcome.log)
         logEvent(line);
     if (outcome.document)
@@ -103,6 +105,17 @@
     });
 }
 
+/// Checks whether the watch has missed a change. token: of the registry.
+void mesh_daemon::state::checkWatch(std::uint64_t token)
+{
+    nodeMetrics.countStoreCall();
+    store.checkWatch(watch.value_or(0), storeTimeout, [this, token](const auto& check, store_era era) {
+        mesh::registry::outcome outcome;
+        registry.watchChecked(token, check, era, bootTime(), outcome);
+        execute(outcome);
+    });
+}
+
 void mesh_daemon::state::reportListedNodes(const std::vector<std::string>& entries, bool preliminary)
 {
     mesh::nodes_listed listed;
