Take times of the settings in seconds, as any number

Cause: the settings template made milliseconds of seconds by writing three zeros behind the value; 7.5 became 7.5000. The window of the retry bound was made in the same way.

A time is given as NAME_s or NAME_ms, as any number; both at once end the start. Numbers are written as texts, an empty one means the default, and anything else that is no number in range ends the start with the setting, its range and the value. start logs the times and limits.

--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -31,6 +31,8 @@
     // A heartbeat counts as missing this many intervals after the one before it.
     constexpr double overdueHeartbeats = 1.5;
 
+    std::string milliseconds(duration value) { return std::to_string(value.count() / 1000); }
+
     std::size_t descriptorsFor(const daemon_settings& settings, double fraction)
     {
         const auto all = settings.maxDescriptors - std::min(settings.maxDescriptors, reservedDescriptors);
@@ -209,7 +211,12 @@
     });
     logEvent({ "start",
         { { "region", settings.region }, { "zone", settings.availabilityZone }, { "service", settings.service },
-            { "clients", toText(settings.clientAddress) }, { "links", toText(settings.linkAddress) } } });
+            { "clients", toText(settings.clientAddress) }, { "links", toText(settings.linkAddress) },
+            { "drain_time_ms", milliseconds(settings.drainTime) }, { "stop_time_ms", milliseconds(settings.stopTime) },
+            { "retry_window_ms", milliseconds(settings.retryWindow) },
+            { "heartbeat_ms", milliseconds(settings.heartbeatInterval) },
+            { "memory_mb", std::to_string(settings.memoryMb) },
+            { "max_descriptors", std::to_string(settings.maxDescriptors) } } });
     tick();
     tickRegistry();
     log.flush();
@@ -382,8 +389,7 @@
     impl.earliestQuitAt = std::min(now + stopGracePeriod, answersEndAt);
     impl.logEvent({ "stopping",
         { { "in_flight", std::to_string(impl.node.statistics(bootTime()).callsInFlight) },
-            { "stop_time_ms", std::to_string(stopTime.count() / 1000) },
-            { "answers_end_ms", std::to_string((answersEndAt - now).count() / 1000) } } });
+            { "stop_time_ms", milliseconds(stopTime) }, { "answers_end_ms", milliseconds(answersEndAt - now) } } });
     impl.handle(mesh::leave_request { answersEndAt });
     impl.clientServer.closeAfterResponses();
     mesh::registry::outcome outcome;
--- a/src/libproxy/proxy_limits_test.cpp
+++ b/src/libproxy/proxy_limits_test.cpp
@@ -311,6 +311,17 @@
     EXPECT_FALSE(parseDaemonSettings("{" + places + R"(,"advertised_link_address":"nowhere"})"));
 }
 
+TEST(settings, timesAreGivenInSecondsOrMilliseconds)
+{
+    for (const auto* given : { R"("stop_time_ms":7500)", R"("stop_time_s":7.5)", R"("stop_time_s":"7.5")" }) {
+        const auto read = parseDaemonSettings("{" + places + "," + given + "}");
+        ASSERT_TRUE(read) << given << ": " << read.error().message;
+        EXPECT_EQ(read->stopTime, 7500ms) << given;
+    }
+    EXPECT_FALSE(parseDaemonSettings("{" + places + R"(,"stop_time_ms":7500,"stop_time_s":7.5})"));
+    EXPECT_FALSE(parseDaemonSettings("{" + places + R"(,"stop_time_s":3601})"));
+}
+
 TEST(settings, readLimitsOfMemoryAndRetries)
 {
     const auto read
