Split the tests of the registry by what they guard

The fixture has a header of its own, the tests of the watch and of evacuations a file; no test is changed (29 before and after).

--- a/src/libmesh/mesh_registry_test.cpp
+++ b/src/libmesh/mesh_registry_test.cpp
@@ -1,123 +1,15 @@
 // Guards a node's entry in the store: written under a lease, kept alive, rewritten after its lease expired, after an
 // outage or when the store was restored from a copy, and erased on a planned shutdown.
 
-#include <gtest/gtest.h>
-#include <limpetcroft/mesh.h>
+#include "mesh_registry_test.h"
 
 using namespace limpet;
 using namespace limpet::mesh;
+using namespace limpet::mesh::testing_support;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr time_point start { duration(1000s) };
-
-/// A store that replies to every call, or fails it while it is unavailable.
-struct fake_store {
-    store_lease nextLease = 7;
-    bool unavailable = false;
-    bool leaseExpired = false;
-    store_era era = 1;
-    std::map<std::string, store_entry> entries;
-    std::vector<store_operation> seen;
-
-    result<store_reply> answer(const store_operation& operation)
-    {
-        seen.push_back(operation);
-        if (unavailable)
-            return fail(error_kind::unavailable, "down");
-        if (const auto* get = std::get_if<store_get>(&operation)) {
-            store_get_reply reply { {}, 10 };
-            for (const auto& [key, entry] : entries) {
-                if (key.starts_with(get->key))
-                    reply.entries.push_back(entry);
-            }
-            return reply;
-        }
-        if (const auto* txn = std::get_if<store_txn>(&operation)) {
-            for (const auto& write : txn->writes) {
-                if (const auto* put = std::get_if<store_put>(&write))
-                    entries[put->key] = { put->key, put->value, 11, put->lease };
-                else
-                    entries.erase(std::get<store_erase>(write).key);
-            }
-            return store_txn_reply { true, {}, 11 };
-        }
-        if (std::holds_alternative<store_lease_grant>(operation)) {
-            leaseExpired = false;
-            return store_lease_reply { ++nextLease, 6s };
-        }
-        return store_lease_reply { nextLease, leaseExpired ? 0s : 6s };
-    }
-
-    /// Takes a copy without the node's entry. All lease numbers are in use again: renewals succeed.
-    void restore()
-    {
-        ++era;
-        entries.clear();
-    }
-
-    template <typename Operation> std::size_t count() const
-    {
-        return static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(),
-            [](const store_operation& each) { return std::holds_alternative<Operation>(each); }));
-    }
-};
-
-struct registry_fixture {
-    fake_store store;
-    mesh::registry subject { { "conf", "nodes/", "a", "10.0.0.1:7000" } };
-    time_point now = start;
-    std::optional<store_position> watchedFrom;
-    std::optional<evacuations_read> evacuations; ///< as read last
-    std::size_t watchChecks = 0;
-    std::size_t missedByWatch = 0; ///< changes, told by the next check
-    std::vector<std::string> logged; ///< because of checks of the watch
-
-    registry_fixture()
-    {
-        mesh::registry::outcome out;
-        subject.readConfiguration(true, now, out);
-    }
-
-    void applyActions(mesh::registry::outcome out)
-    {
-        while (!out.calls.empty() || out.watchCheck) {
-            mesh::registry::outcome next;
-            if (out.watchCheck) {
-                ++watchChecks;
-                const auto missed = std::exchange(missedByWatch, 0);
-                subject.watchChecked(*out.watchCheck,
-                    store.unavailable ? result<store_watch_check>(fail(error_kind::unavailable, "down"))
-                                      : store_watch_check { missed },
-                    store.unavailable ? 0 : store.era, now, next);
-                for (const auto& each : next.log)
-                    logged.push_back(each.name);
-            }
-            for (const auto& call : out.calls)
-                subject.handle({ call.token, store.answer(call.operation), store.era }, now, next);
-            if (next.unwatch)
-                watchedFrom.reset();
-            if (next.watchFrom)
-                watchedFrom = next.watchFrom;
-            if (next.evacuations)
-                evacuations = next.evacuations;
-            out = std::move(next);
-        }
-    }
-
-    void runFor(duration length)
-    {
-        const auto end = now + length;
-        while (now < end) {
-            mesh::registry::outcome out;
-            subject.tick(now, out);
-            applyActions(std::move(out));
-            now += 50ms;
-        }
-    }
-};
-
 TEST(registry, writesItsEntryUnderALeaseAndRenewsIt)
 {
     registry_fixture fixture;
@@ -157,15 +49,6 @@
     EXPECT_EQ(fixture.subject.nextTimer(), time_point::max());
 }
 
-std::size_t configurationReads(const registry_fixture& fixture)
-{
-    return static_cast<std::size_t>(
-        std::count_if(fixture.store.seen.begin(), fixture.store.seen.end(), [](const auto& each) {
-            const auto* get = std::get_if<store_get>(&each);
-            return get && get->key == "conf";
-        }));
-}
-
 // Nodes that all started at once each read a large configuration over the link between the regions.
 TEST(registry, doesNotReadTheConfigurationBeforeThatIsWanted)
 {
@@ -297,54 +180,6 @@
     EXPECT_EQ(configurationReads(fixture), before);
 }
 
-// review/7: a watch whose connection had gone silent was believed for up to 25 s.
-TEST(registry, checksItsWatchSoOftenThatAMissedChangeIsInTime)
-{
-    registry_fixture fixture;
-    fixture.runFor(2s);
-    const auto before = fixture.watchChecks;
-    const auto reads = configurationReads(fixture);
-    fixture.missedByWatch = 1;
-    fixture.runFor(1100ms);
-    EXPECT_GE(fixture.watchChecks, before + 1);
-    EXPECT_EQ(fixture.logged, std::vector<std::string> { "watch_silent" });
-    fixture.runFor(60s);
-    EXPECT_LE(fixture.watchChecks, before + 62) << "each check is a billed call";
-    EXPECT_EQ(configurationReads(fixture), reads) << "a check does not transfer the configuration";
-}
-
-// Only the few nodes that watch the configuration check their watch.
-TEST(registry, checksNoWatchThatHasEnded)
-{
-    registry_fixture fixture;
-    fixture.runFor(2s);
-    mesh::registry::outcome out;
-    for (int second = 0; second < 7 && !out.unwatch; ++second) {
-        fixture.subject.readConfiguration(false, fixture.now, out);
-        fixture.runFor(1s);
-    }
-    ASSERT_TRUE(out.unwatch);
-    const auto before = fixture.watchChecks;
-    fixture.runFor(10s);
-    EXPECT_EQ(fixture.watchChecks, before);
-}
-
-// While the store is away, a check is one of the calls that probe it, and none beside them.
-TEST(registry, checksItsWatchNoMoreOftenWhileTheStoreIsAway)
-{
-    registry_fixture fixture;
-    fixture.runFor(3s);
-    fixture.store.unavailable = true;
-    const auto before = fixture.watchChecks + fixture.store.seen.size();
-    fixture.runFor(4s);
-    EXPECT_LE(fixture.watchChecks + fixture.store.seen.size() - before, 12U);
-    EXPECT_FALSE(fixture.subject.storeReachable());
-    fixture.store.unavailable = false;
-    const auto reads = configurationReads(fixture);
-    fixture.runFor(1s);
-    EXPECT_EQ(configurationReads(fixture), reads + 1);
-}
-
 // A lease number of the store before it was restored may be that of another node.
 TEST(registry, leavesWithoutEndingALeaseByItsNumber)
 {
@@ -504,103 +339,4 @@
     EXPECT_EQ(configurationReads(fixture), before + 1);
 }
 
-/// Reads evacuations from keys with the prefix "evacuate/".
-struct evacuation_fixture : registry_fixture {
-    evacuation_fixture()
-    {
-        mesh::registry::options options { "conf", "nodes/", "a", "10.0.0.1:7000" };
-        options.evacuationPrefix = "evacuate/";
-        subject = mesh::registry(options);
-        mesh::registry::outcome out;
-        subject.readConfiguration(true, now, out);
-        store.entries["conf"] = { "conf", "x", 3 };
-    }
-
-    std::size_t reads() const
-    {
-        return static_cast<std::size_t>(std::count_if(store.seen.begin(), store.seen.end(), [](const auto& each) {
-            const auto* get = std::get_if<store_get>(&each);
-            return get && get->key == "evacuate/";
-        }));
-    }
-
-    void evacuate(const std::string& zone) { store.entries["evacuate/" + zone] = { "evacuate/" + zone, "{}", 9 }; }
-};
-
-TEST(registry, readsEvacuationsAfterTheConfiguration)
-{
-    evacuation_fixture fixture;
-    fixture.evacuate("north-a");
-    fixture.runFor(1s);
-    ASSERT_TRUE(fixture.evacuations);
-    EXPECT_EQ(fixture.evacuations->zones, std::vector<std::string> { "north-a" });
-    EXPECT_EQ(fixture.evacuations->position.revision, 10);
-    EXPECT_EQ(fixture.evacuations->position.era, 1U);
-    EXPECT_EQ(fixture.reads(), 1U);
-}
-
-TEST(registry, readsEvacuationsAgainWhenTheyChange)
-{
-    evacuation_fixture fixture;
-    fixture.runFor(1s);
-    ASSERT_TRUE(fixture.evacuations);
-    EXPECT_TRUE(fixture.evacuations->zones.empty());
-    fixture.evacuate("north-a");
-    fixture.subject.evacuationsChanged(fixture.now);
-    fixture.runFor(100ms);
-    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
-}
-
-// A read that was answered before the change must not hide it.
-TEST(registry, changeDuringAReadIsReadAfterIt)
-{
-    evacuation_fixture fixture;
-    fixture.runFor(1s);
-    fixture.subject.evacuationsChanged(fixture.now);
-    mesh::registry::outcome reading;
-    fixture.subject.tick(fixture.now, reading);
-    ASSERT_EQ(reading.calls.size(), 1U);
-    const auto early = fixture.store.answer(reading.calls.front().operation);
-    fixture.evacuate("north-a");
-    fixture.subject.evacuationsChanged(fixture.now);
-    mesh::registry::outcome late;
-    fixture.subject.handle({ reading.calls.front().token, early, 1 }, fixture.now, late);
-    EXPECT_FALSE(late.evacuations);
-    fixture.runFor(100ms);
-    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
-}
-
-TEST(registry, readsEvacuationsAgainAfterAnOutage)
-{
-    evacuation_fixture fixture;
-    fixture.runFor(1s);
-    fixture.store.unavailable = true;
-    fixture.runFor(5s);
-    fixture.evacuate("north-a");
-    fixture.store.unavailable = false;
-    fixture.runFor(1500ms);
-    EXPECT_EQ(fixture.evacuations->zones.size(), 1U);
-}
-
-TEST(registry, readsEvacuationsAgainWhenTheStoreWasRestored)
-{
-    evacuation_fixture fixture;
-    fixture.evacuate("north-a");
-    fixture.runFor(2s);
-    fixture.store.restore();
-    fixture.store.entries["conf"] = { "conf", "x", 3 };
-    fixture.runFor(3s);
-    EXPECT_TRUE(fixture.evacuations->zones.empty());
-    EXPECT_EQ(fixture.evacuations->position.era, 2U);
-}
-
-TEST(registry, readsNoEvacuationsWhereThereAreNone)
-{
-    registry_fixture fixture;
-    fixture.store.entries["conf"] = { "conf", "x", 3 };
-    fixture.subject.evacuationsChanged(fixture.now);
-    fixture.runFor(3s);
-    EXPECT_FALSE(fixture.evacuations);
-}
-
 } // namespace
