Show that a spoiled head of an endpoint's answer reaches the client

Cause: the reader of HTTP heads allows spaces in the names of headers and the node writes such names out again, so that a spoiled answer is passed on as bytes that are no answer in the protocol (MIXED).

Nothing of the product is changed.

--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -145,6 +145,7 @@
     std::string first; ///< request or status line
     headers fields;
     std::string body;
+    bool wellFormed = true; ///< each line of the head is a name, a colon and a value (RFC 9112, section 5)
     std::string field(const std::string& name) const
     {
         const auto found = fields.find(name);
@@ -185,11 +186,14 @@
         for (std::string line; std::getline(lines, line);) {
             trim(line);
             const auto colon = line.find(':');
+            const auto name = line.substr(0, colon);
+            result.wellFormed = result.wellFormed && colon != std::string::npos && !name.empty()
+                && name.find_first_of(" \t") == std::string::npos;
             if (colon == std::string::npos)
                 continue;
             auto value = line.substr(colon + 1);
             value.erase(0, value.find_first_not_of(' '));
-            result.fields[line.substr(0, colon)] = value;
+            result.fields[name] = value;
         }
         m_buffer.erase(0, end + 4);
         const auto length
@@ -693,6 +697,7 @@
         std::string body = "ok\n";
         bool isSigned = true;
         std::vector<std::pair<std::string, std::string>> fields;
+        bool isSpoiled = false; ///< a byte too many stands in its head
     };
     using work = std::function<outcome(const message&)>;
 
@@ -778,10 +783,10 @@
             const auto wanted = request->field("X-Target-Instance");
             const auto id = request->field("X-Request-Id");
             if (request->word(1) == "/health") {
-                result = { m_leaving ? 503 : 200, "", false, {} };
+                result = { m_leaving ? 503 : 200, "", false, {}, false };
                 fields.push_back({ "X-Instance-Id", m_id });
             } else if (!wanted.empty() && wanted != m_id) {
-                result = { 421, "", false, {} };
+                result = { 421, "", false, {}, false };
                 fields.push_back({ "X-Instance-Id", m_id });
                 m_record.line("endpoint " + m_id + " rejects " + id + ", meant for " + wanted);
             } else {
@@ -799,6 +804,10 @@
                 fields.push_back({ "X-Response-Signature", m_id + "." + std::to_string(result.body.size()) });
             fields.insert(fields.end(), result.fields.begin(), result.fields.end());
             auto answer = makeMessage("HTTP/1.1 " + std::to_string(result.status) + " Answer", fields, result.body);
+            if (result.isSpoiled) {
+                m_record.line("endpoint " + m_id + " spoils the answer to " + id);
+                answer.insert(answer.find("Content-Length") + std::strlen("Content-Length"), " ");
+            }
             if (request->word(0) == "HEAD")
                 answer.resize(answer.size() - result.body.size());
             if (!sendAll(descriptor, answer))
