Show that a chunk without its end makes a cut answer look whole

Cause: the parser of HTTP messages is built without its strict mode and the reader does not look at the bytes after a chunk, so that an answer which lacks a byte may be read as complete halfway and is passed on as a success with a length of the node's own (MIXED).

Nothing of the product is changed.

--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -240,6 +241,15 @@
     return text + body;
 }
 
+inline std::string makeChunked(const std::string& first,
+    const std::vector<std::pair<std::string, std::string>>& fields, const std::string& chunks)
+{
+    std::string text = first + "\r\n";
+    for (const auto& [name, value] : fields)
+        text += name + ": " + value + "\r\n";
+    return text + "Transfer-Encoding: chunked\r\n\r\n" + chunks;
+}
+
 /// Accepts connections and serves each in a thread of its own, until it is destroyed.
 class server {
 public:
@@ -698,6 +708,7 @@
         bool isSigned = true;
         std::vector<std::pair<std::string, std::string>> fields;
         bool isSpoiled = false; ///< a byte too many stands in its head
+        std::string chunks; ///< if not empty, the body as it is sent, in chunks (RFC 9112, section 7.1)
     };
     using work = std::function<outcome(const message&)>;
 
@@ -783,10 +794,10 @@
             const auto wanted = request->field("X-Target-Instance");
             const auto id = request->field("X-Request-Id");
             if (request->word(1) == "/health") {
-                result = { m_leaving ? 503 : 200, "", false, {}, false };
+                result = outcome { m_leaving ? 503 : 200, "", false, {}, false, "" };
                 fields.push_back({ "X-Instance-Id", m_id });
             } else if (!wanted.empty() && wanted != m_id) {
-                result = { 421, "", false, {}, false };
+                result = outcome { 421, "", false, {}, false, "" };
                 fields.push_back({ "X-Instance-Id", m_id });
                 m_record.line("endpoint " + m_id + " rejects " + id + ", meant for " + wanted);
             } else {
@@ -803,7 +814,10 @@
             if (result.isSigned)
                 fields.push_back({ "X-Response-Signature", m_id + "." + std::to_string(result.body.size()) });
             fields.insert(fields.end(), result.fields.begin(), result.fields.end());
-            auto answer = makeMessage("HTTP/1.1 " + std::to_string(result.status) + " Answer", fields, result.body);
+            const auto statusLine = "HTTP/1.1 " + std::to_string(result.status) + " Answer";
+            auto answer = makeMessage(statusLine, fields, result.body);
+            if (!result.chunks.empty())
+                answer = makeChunked(statusLine, fields, result.chunks);
             if (result.isSpoiled) {
                 m_record.line("endpoint " + m_id + " spoils the answer to " + id);
                 answer.insert(answer.find("Content-Length") + std::strlen("Content-Length"), " ");
@@ -921,7 +935,7 @@
     explicit scene(const std::string& recordPath)
         : out(recordPath)
     {
-        std::string pattern = std::string(std::getenv("TMPDIR") ? std::getenv("TMPDIR") : "/tmp") + "/review-XXXXXX";
+        std::string pattern = std::filesystem::temp_directory_path().string() + "/review-XXXXXX";
         if (!mkdtemp(pattern.data()))
             std::exit(couldNotRun);
         folder = pattern;
