Refuse no request with 503 of which an attempt may have run

Cause: an idempotent request whose response was lost is sent to another backend server. If that one refused it, or there was none, the entry node answered with the reason of the last attempt, 503, which promises that the request has not run and never will.

Change: a call remembers that an attempt of it ended without telling whether it was executed. Such a call is answered 502 in place of a 503 or 429, wherever the refusal comes from, its team's rate is not refunded, and the line refusal_replaced names the reason it would have had.

--- a/src/libmesh/attempts.cpp
+++ b/src/libmesh/attempts.cpp
@@ -145,6 +145,7 @@
         call.rejectedBy.erase(failedNode);
     call.retryAfter = retryAfter;
     const bool certainlyNotExecuted = kind == failure_kind::notExecuted || kind == failure_kind::rejected;
+    call.mayHaveRun = call.mayHaveRun || !certainlyNotExecuted;
     const bool mayRetry = certainlyNotExecuted || call.matchedRoute->idempotent;
     const bool waitedFor = isWaitedFor(call);
     bool allowed = now < call.deadline && mayRetry && waitedFor;
--- a/src/libmesh/ingress.cpp
+++ b/src/libmesh/ingress.cpp
@@ -277,12 +277,18 @@
 void node::state::answerWithRefusal(
     ingress_call& call, refusal_reason reason, duration retryAfter, time_point now, actions& out)
 {
-    const int status = httpStatus(reason);
-    // Refusals with this status guarantee that the request was not executed.
+    // Refusals with these statuses guarantee that the request was not executed.
     constexpr int unavailable = 503;
+    const auto promisesNotExecuted = [](int status) { return status == unavailable || status == tooManyRequests; };
+    if (call.mayHaveRun && promisesNotExecuted(httpStatus(reason))) {
+        log(out, "refusal_replaced", { { "id", call.request.requestId }, { "reason", std::string(name(reason)) } });
+        reason = refusal_reason::connectionLost;
+        retryAfter = duration(0);
+    }
+    const int status = httpStatus(reason);
     if (status == unavailable && !call.team.empty())
         rates.refund(call.team);
-    if (status == unavailable || status == tooManyRequests)
+    if (promisesNotExecuted(status))
         ++counts.refused;
     else
         ++counts.failed;
--- a/src/libmesh/mesh_network_test.h
+++ b/src/libmesh/mesh_network_test.h
@@ -64,11 +64,13 @@
         unsigned slots = 10;
         duration serviceTime = std::chrono::milliseconds(100);
         double rejectedFraction = 0; ///< of the calls to its backend server
+        double spoiledFraction = 0; ///< of its responses: they cannot be read
         unsigned running = 0;
         unsigned peakRunning = 0;
         std::uint64_t served = 0;
         std::uint64_t failed = 0;
         std::uint64_t rejected = 0;
+        std::uint64_t spoiled = 0;
         std::uint64_t arrivals = 0; ///< calls to its backend server, including rejected and cancelled ones
         std::uint64_t sequence = 0;
         std::set<std::uint64_t> cancelled;
@@ -485,6 +487,12 @@
         if (at.cancelled.erase(attempt) > 0)
             return;
         backend_result result { attempt, tl::unexpected(failure_kind::rejected) };
+        if (status && at.spoiledFraction > 0 && m_random.uniform() < at.spoiledFraction) {
+            ++at.spoiled;
+            result.outcome = tl::unexpected(failure_kind::lost);
+            dispatch(at, std::move(result));
+            return;
+        }
         if (status)
             result.outcome = http_answer { *status, {}, makeBytes("ok") };
         ++(!status ? at.rejected : *status == 200 ? at.served : at.failed);
--- a/src/libmesh/state.h
+++ b/src/libmesh/state.h
@@ -67,6 +67,7 @@
     std::set<std::string> tried; ///< nodes it was sent to
     std::set<std::string> reached; ///< nodes whose backend servers may have received it
     std::set<std::string> rejectedBy; ///< those of them that rejected it without executing it
+    bool mayHaveRun = false; ///< an attempt ended without telling whether a backend server executed it
     unsigned sends = 0;
     unsigned refusals = 0; ///< by nodes, without reaching a backend server
     /// The newest one last. A silent attempt stays in flight beside its hedge, since that one may be refused.
