Check every byte of the framing of chunked bodies

Cause: the parser library, built without its strict mode, doesn't look at the two bytes after the data of a chunk.

Change: chunked_body decodes chunked bodies and checks all of their framing; the library reads heads and bodies with a length. What is malformed counts as lost, and the new line response_malformed says why. A size that has lost its first digit leaves a lawful response with a trailer: if its head announces no trailers, the pool waits up to 20 ms for a further size before it passes the response on. Extensions, trailers and padded sizes stay lawful.

--- a/src/include/limpetcroft/proxy.h
+++ b/src/include/limpetcroft/proxy.h
@@ -201,6 +201,13 @@
     std::uint64_t connection = 0; ///< number of the connection in this pool
 };
 
+/// A response that is no HTTP/1.1 message.
+struct malformed_response {
+    std::string id; ///< of the request that waited
+    std::string_view violation; ///< what is wrong with it
+    std::uint64_t connection = 0; ///< number of the connection in this pool
+};
+
 struct pool_options {
     std::size_t maxConnections = 1000;
     duration connectTimeout = std::chrono::seconds(1);
@@ -211,6 +218,7 @@
     body_budget* budget = nullptr; ///< for the bodies of responses while they are read; nullptr: unbounded
     const body_budget* unread = nullptr; ///< nothing is read from the server while it is scarce; nullptr: none
     std::function<void(const skipped_response&)> skipped; ///< called for each skipped final response. Optional.
+    std::function<void(const malformed_response&)> malformed; ///< called for each malformed response. Optional.
 };
 
 /// Pool of persistent connections to one HTTP server. Each connection carries one request at a time.
--- a/src/libproxy/daemon.cpp
+++ b/src/libproxy/daemon.cpp
@@ -130,7 +130,8 @@
           { .maxResponseBytes = settings.memoryMb * bytesPerMb / responseMemoryDivisor,
               .budget = &bodies,
               .unread = &responses,
-              .skipped = [this](const skipped_response& each) { logSkippedResponse(each); } })
+              .skipped = [this](const skipped_response& each) { logSkippedResponse(each); },
+              .malformed = [this](const malformed_response& each) { logMalformedResponse(each); } })
     , nodeLinks(loop, settings.linkAddress, linkCallbacks(), { .budget = &responses })
     , statusSocket(loop, settings.linkAddress, [this](mesh::status_received received) { handle(std::move(received)); })
     , store(adapter.openStore(loop, settings.storeAddress))
--- a/src/libproxy/daemon_requests.cpp
+++ b/src/libproxy/daemon_requests.cpp
@@ -153,6 +153,13 @@
             { "connection", std::to_string(skipped.connection) } } });
 }
 
+void mesh_daemon::state::logMalformedResponse(const malformed_response& malformed)
+{
+    logEvent({ "response_malformed",
+        { { "id", malformed.id }, { "reason", std::string(malformed.violation) },
+            { "connection", std::to_string(malformed.connection) } } });
+}
+
 /// Probes the backend server's port at regular intervals until it accepts connections again.
 void mesh_daemon::state::probeBackend()
 {
--- a/src/libproxy/daemon_state.h
+++ b/src/libproxy/daemon_state.h
@@ -66,6 +66,7 @@
     void handleBackendOutcome(
         std::uint64_t attempt, bool idempotent, tl::expected<http_answer, exchange_failure> outcome);
     void logSkippedResponse(const skipped_response& skipped);
+    void logMalformedResponse(const malformed_response& malformed);
     void probeBackend();
     void checkBackend(const std::string& healthPath);
     http_answer handleControl(const http_request& request);
--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -1,6 +1,6 @@
 #include "http_reader.h"
+#include "field_syntax.h"
 #include <algorithm>
-#include <strings.h>
 
 namespace limpet::proxy {
 namespace {
@@ -8,11 +8,6 @@
     // Result of on_headers_complete by which the parser expects no body.
     constexpr int skipBody = 1;
 
-    bool equalsIgnoreCase(std::string_view left, std::string_view right)
-    {
-        return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-    }
-
 } // namespace
 
 const std::string* findHeader(const std::vector<header>& headers, std::string_view name)
@@ -40,12 +35,14 @@
 {
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
+    m_chunks.reset();
     m_state = reader_state::reading;
     m_started = false;
     m_headersComplete = false;
     m_keepAlive = false;
     m_expectBody = expectBody;
     m_lastWasValue = true;
+    m_violation = {};
     m_headerBytes = 0;
     m_status = 0;
     m_method.clear();
@@ -75,16 +72,9 @@
     };
     settings.on_headers_complete = [](http_parser* parser) { return readerOf(parser).onHeadersComplete(); };
     settings.on_body = [](http_parser* parser, const char* at, std::size_t length) {
-        return readerOf(parser).onBody({ at, length });
-    };
-    settings.on_message_complete = [](http_parser* parser) {
-        auto& reader = readerOf(parser);
-        // Determined here because it is no longer known after the end of the stream.
-        reader.m_keepAlive = http_should_keep_alive(parser) != 0;
-        reader.m_state = reader_state::complete;
-        http_parser_pause(parser, 1);
-        return 0;
+        return readerOf(parser).onBody({ at, length }) ? 0 : 1;
     };
+    settings.on_message_complete = [](http_parser* parser) { return readerOf(parser).onMessageComplete(); };
     return settings;
 }
 
@@ -113,11 +103,15 @@
     m_reservation.clear();
 }
 
+bool http_reader::reject(std::string_view violation)
+{
+    m_state = reader_state::malformed;
+    m_violation = violation;
+    return false;
+}
+
 int http_reader::onHeaderField(std::string_view part)
 {
-    // Trailers of a chunked body count towards the header limit but are not forwarded.
-    if (m_headersComplete)
-        return countHeaderBytes(part.size());
     if (m_lastWasValue)
         m_headers.emplace_back();
     m_lastWasValue = false;
@@ -128,8 +122,6 @@
 
 int http_reader::onHeaderValue(std::string_view part)
 {
-    if (m_headersComplete)
-        return countHeaderBytes(part.size());
     m_lastWasValue = true;
     m_headers.back().value += part;
     return countHeaderBytes(part.size() + 2);
@@ -147,58 +139,104 @@
 
 int http_reader::onHeadersComplete()
 {
+    constexpr int malformed = -1;
     m_headersComplete = true;
     m_status = static_cast<int>(m_parser.status_code);
     if (m_type == HTTP_RESPONSE && !statusLineIsValid()) {
-        m_state = reader_state::malformed;
-        return -1;
+        reject("the HTTP version or the status is invalid");
+        return malformed;
     }
     if (m_type == HTTP_REQUEST)
         m_method = http_method_str(static_cast<http_method>(m_parser.method));
+    if (m_expectBody && (m_parser.flags & F_CHUNKED) != 0)
+        m_chunks.emplace(m_maxHeaderBytes - m_headerBytes);
     const bool lengthKnown = (m_parser.flags & F_CONTENTLENGTH) != 0;
     if (lengthKnown && m_expectBody && m_parser.content_length > m_maxBodyBytes) {
         m_state = reader_state::bodyTooLarge;
-        return -1;
+        return malformed;
     }
     if (lengthKnown && m_expectBody && !reserve(m_parser.content_length)) {
         m_state = reader_state::overBudget;
-        return -1;
+        return malformed;
     }
-    return m_expectBody ? 0 : skipBody;
+    return m_expectBody && !m_chunks ? 0 : skipBody;
 }
 
-int http_reader::onBody(std::string_view part)
+/// For the parser library, a chunked message is complete after its head.
+int http_reader::onMessageComplete()
+{
+    // Determined here because it is no longer known after the end of the stream.
+    m_keepAlive = http_should_keep_alive(&m_parser) != 0;
+    if (!m_chunks)
+        m_state = reader_state::complete;
+    http_parser_pause(&m_parser, 1);
+    return 0;
+}
+
+/// Returns false if the body may not become that long.
+bool http_reader::onBody(std::string_view part)
 {
     if (m_body.size() + part.size() > m_maxBodyBytes) {
         m_state = reader_state::bodyTooLarge;
-        return 1;
+        return false;
     }
     if (!reserve(m_body.size() + part.size())) {
         m_state = reader_state::overBudget;
-        return 1;
+        return false;
     }
     m_body += part;
-    return 0;
+    return true;
 }
 
 std::size_t http_reader::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && m_state == reader_state::reading) {
+        const auto rest = bytes.substr(used);
+        used += m_chunks ? feedChunks(rest) : feedParser(rest);
+    }
+    return used;
+}
+
+std::size_t http_reader::feedParser(std::string_view bytes)
 {
     static const auto settings = makeSettings();
     const auto used = http_parser_execute(&m_parser, &settings, bytes.data(), bytes.size());
     const auto code = HTTP_PARSER_ERRNO(&m_parser);
     // Protocol upgrades and CONNECT are not supported; such a message is treated as malformed.
     const bool acceptedByParser = code == HPE_OK || code == HPE_PAUSED;
-    if (m_parser.upgrade != 0 || (!acceptedByParser && m_state == reader_state::reading))
-        m_state = code == HPE_HEADER_OVERFLOW ? reader_state::headersTooLarge : reader_state::malformed;
+    if (code == HPE_HEADER_OVERFLOW)
+        m_state = reader_state::headersTooLarge;
+    else if (m_parser.upgrade != 0)
+        reject("upgrades are not supported");
+    else if (!acceptedByParser && m_state == reader_state::reading)
+        reject(http_errno_description(code));
     return used;
 }
 
+std::size_t http_reader::feedChunks(std::string_view bytes)
+{
+    const auto used = m_chunks->feed(bytes, [this](std::string_view part) { return onBody(part); });
+    if (m_chunks->state() == chunked_state::complete)
+        m_state = reader_state::complete;
+    else if (m_chunks->state() == chunked_state::trailersTooLong)
+        m_state = reader_state::headersTooLarge;
+    else if (m_chunks->state() == chunked_state::malformed)
+        reject(m_chunks->violation());
+    return used;
+}
+
+bool http_reader::endIsDoubtful() const
+{
+    return m_chunks && m_chunks->hasTrailers() && !findHeader(m_headers, "Trailer");
+}
+
 void http_reader::feedEof()
 {
+    if (m_state == reader_state::reading && m_headersComplete && !m_chunks)
+        feedParser({});
     if (m_state == reader_state::reading)
-        feed({});
-    if (m_state == reader_state::reading)
-        m_state = reader_state::malformed;
+        reject("the message is cut");
 }
 
 void appendHeaders(std::string& out, const std::vector<header>& headers, std::size_t contentLength)
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -3,6 +3,7 @@
 // Incremental reader of HTTP/1.1 messages.
 
 #include "body_budget.h"
+#include "chunked_body.h"
 #include <http_parser.h>
 #include <limpetcroft/proxy.h>
 
@@ -17,7 +18,8 @@
     malformed,
 };
 
-/// Reads HTTP messages from a byte stream, one at a time; restart() prepares for the next one.
+/// Reads HTTP messages from a byte stream, one at a time; restart() prepares for the next one. The parser library reads
+/// the head and bodies whose length the head tells; what it takes although RFC 9112 forbids it is rejected here.
 class http_reader {
 public:
     http_reader(http_parser_type type, std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
@@ -35,6 +37,8 @@
     }
     /// Bytes taken from the budget for the body.
     std::size_t reservedBytes() const { return m_reservation.bytes(); }
+    /// Makes the message malformed, for an owner who knows more about it. Returns false.
+    bool reject(std::string_view violation);
     /// Drops the body and gives its bytes back. The state is overBudget until restart().
     void discardBody();
     /// Returns the reservation for the body, for an owner that holds the body longer.
@@ -47,6 +51,11 @@
     /// malformed.
     void feedEof();
     reader_state state() const { return m_state; }
+    /// What is wrong if the state is malformed.
+    std::string_view violation() const { return m_violation; }
+    /// Whether the complete message ends with trailers that its head does not announce. They are lawful, but if a size
+    /// has lost its first digit, a chunk may look like the last one and its data like a trailer.
+    bool endIsDoubtful() const;
     /// Returns whether the first byte of a message has arrived.
     bool started() const { return m_started; }
     bool headersComplete() const { return m_headersComplete; }
@@ -64,13 +73,17 @@
     int onHeaderField(std::string_view part);
     int onHeaderValue(std::string_view part);
     int onHeadersComplete();
+    int onMessageComplete();
     bool statusLineIsValid() const;
-    int onBody(std::string_view part);
+    bool onBody(std::string_view part);
+    std::size_t feedParser(std::string_view bytes);
+    std::size_t feedChunks(std::string_view bytes);
     int countHeaderBytes(std::size_t bytes);
     bool reserve(std::size_t bodyBytes);
 
     http_parser m_parser {};
     http_parser_type m_type;
+    std::optional<chunked_body> m_chunks; ///< of a chunked body
     std::size_t m_maxHeaderBytes;
     std::size_t m_maxBodyBytes;
     reader_state m_state = reader_state::reading;
@@ -79,6 +92,7 @@
     bool m_keepAlive = false;
     bool m_expectBody = true;
     bool m_lastWasValue = true; ///< true: the next field name starts a new header
+    std::string_view m_violation;
     std::size_t m_headerBytes = 0;
     int m_status = 0;
     std::string m_method;
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -3,6 +3,7 @@
 #include "http_reader.h"
 #include "sockets.h"
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
 #include <sys/epoll.h>
@@ -20,6 +21,14 @@
     constexpr int firstNonSuccessStatus = 300;
     // Interim responses and responses to other requests that are skipped before the expected one.
     constexpr unsigned maxSkippedResponses = 16;
+    // The bytes of one response follow each other within this time, unless the server pauses within it.
+    constexpr duration doubtfulEndWait = std::chrono::milliseconds(20);
+
+    /// Whether the bytes may be the size of a chunk. Other responses begin with "HTTP".
+    bool mayContinueChunks(std::string_view bytes)
+    {
+        return !bytes.empty() && std::isxdigit(static_cast<unsigned char>(bytes.front())) != 0;
+    }
 
     struct exchange {
         exchange_request request;
@@ -33,7 +42,7 @@
         http_reader reader { HTTP_RESPONSE, maxHeaderBytes, 0 };
         write_buffer out;
         bool connecting = true;
-        bool answered = false; ///< not used
+        bool endAwaited = false; ///< a complete response waits until it is certain that it has ended
         std::uint64_t exchange = 0; ///< zero: idle or used by a probe
         unsigned skippedResponses = 0; ///< since its exchange began
         std::uint64_t requestsSent = 0;
@@ -60,6 +69,8 @@
     connection* takeIdle();
     bool makeRoom();
     bool belongsToExchange(const connection& conn) const;
+    bool endIsCertain(connection& conn, std::string_view rest, bool inputEnded);
+    void reportMalformed(const connection& conn) const;
     bool skipResponse(connection& conn);
     connection* open();
     void sendRequest(connection& conn, std::uint64_t id);
@@ -282,11 +293,11 @@
     const auto outcome = readAll(conn.socket.get(), events, [&](std::string_view chunk) {
         while (!chunk.empty() && !unusable) {
             // Bytes that arrive while no request is waiting for them cannot be attributed to any request.
-            if (conn.exchange == 0 || conn.reader.state() != reader_state::reading) {
+            if (conn.exchange == 0 || (conn.reader.state() != reader_state::reading && !conn.endAwaited)) {
                 unusable = true;
                 return false;
             }
-            chunk.remove_prefix(std::min(conn.reader.feed(chunk), chunk.size()));
+            chunk.remove_prefix(conn.reader.feed(chunk));
             if (conn.reader.state() == reader_state::reading)
                 break;
             unusable = !handleResponse(conn, chunk, inputEnded);
@@ -337,13 +348,47 @@
     return usable;
 }
 
+/// Whether the complete message in the connection's reader has ended for certain. If only the next bytes can tell, the
+/// message is handled again once they have arrived or have had the time to.
+bool http_pool::state::endIsCertain(connection& conn, std::string_view rest, bool inputEnded)
+{
+    if (!conn.reader.endIsDoubtful())
+        return true;
+    const bool awaited = std::exchange(conn.endAwaited, false);
+    if (!rest.empty() || inputEnded || awaited) {
+        const bool continues = mayContinueChunks(rest);
+        if (continues)
+            conn.reader.reject("a further chunk follows the trailers");
+        reportMalformed(conn);
+        return !continues;
+    }
+    conn.endAwaited = true;
+    conn.timer = loop.callAt(bootTime() + doubtfulEndWait, [this, serial = conn.serial] {
+        auto& waiting = connections.at(serial);
+        waiting.timer = 0;
+        if (!handleResponse(waiting, {}, false))
+            failConnection(serial, exchange_failure::lost);
+    });
+    return false;
+}
+
+void http_pool::state::reportMalformed(const connection& conn) const
+{
+    if (conn.reader.state() == reader_state::malformed && options.malformed)
+        options.malformed({ exchanges.at(conn.exchange).request.id, conn.reader.violation(), conn.serial });
+}
+
 /// Handles a complete message. rest are the received bytes that follow it. inputEnded: the server sends nothing after
 /// them. Returns whether the connection can be used further.
 bool http_pool::state::handleResponse(connection& conn, std::string_view rest, bool inputEnded)
 {
     auto& reader = conn.reader;
-    if (reader.state() != reader_state::complete)
+    if (reader.state() != reader_state::complete) {
+        reportMalformed(conn);
         return false;
+    }
+    if (!endIsCertain(conn, rest, inputEnded))
+        return conn.endAwaited;
     if (reader.status() < firstFinalStatus || !belongsToExchange(conn))
         return skipResponse(conn);
     const auto id = conn.exchange;
--- a/src/libproxy/server.cpp
+++ b/src/libproxy/server.cpp
@@ -47,16 +47,16 @@
 
     struct error_response {
         int status = 0;
-        const char* text = "";
+        std::string text;
     };
 
-    error_response errorResponseFor(reader_state state)
+    error_response errorResponseFor(const http_reader& reader)
     {
-        if (state == reader_state::headersTooLarge)
+        if (reader.state() == reader_state::headersTooLarge)
             return { 431, "send fewer or shorter headers" };
-        if (state == reader_state::bodyTooLarge)
+        if (reader.state() == reader_state::bodyTooLarge)
             return { 413, "send a shorter body" };
-        return { 400, "send a well-formed HTTP/1.1 request" };
+        return { 400, "send a well-formed HTTP/1.1 request: " + std::string(reader.violation()) };
     }
 
 } // namespace
@@ -335,7 +335,7 @@
         return;
     }
     if (conn.reader.state() != reader_state::reading) {
-        sendError(conn, errorResponseFor(conn.reader.state()));
+        sendError(conn, errorResponseFor(conn.reader));
         return;
     }
     const auto* expectHeader = conn.reader.headersComplete() ? findHeader(conn.reader.headers(), "Expect") : nullptr;
@@ -382,7 +382,7 @@
         callbacks.rejected(errorResponse.status, conn.reader.headers());
     http_answer response;
     response.status = errorResponse.status;
-    response.body = makeBytes(std::string(errorResponse.text) + "\n");
+    response.body = makeBytes(errorResponse.text + "\n");
     write(conn, response, true);
 }
 
