Check the lines and fields of heads that the parser lets through

Change: head_lines checks each line before the library reads it; names must be tokens and the transfer coding chunked alone; spaces after the names of a response and around values are taken away, as RFC 9112 asks of a proxy. Requests of that kind get 400, whose text now names what is wrong.

--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -8,6 +8,35 @@
     // Result of on_headers_complete by which the parser expects no body.
     constexpr int skipBody = 1;
 
+    void trim(std::string& text)
+    {
+        const auto trimmed = trimWhitespace(text);
+        if (trimmed.size() != text.size())
+            text = std::string(trimmed);
+    }
+
+    /// Appends the elements of a field that is a list. Empty elements do not count (RFC 9110, section 5.6.1).
+    void appendElements(std::vector<std::string_view>& elements, std::string_view list)
+    {
+        while (!list.empty()) {
+            const auto comma = list.find(',');
+            const auto element = trimWhitespace(list.substr(0, comma));
+            if (!element.empty())
+                elements.push_back(element);
+            list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+        }
+    }
+
+    std::vector<std::string_view> transferCodings(const std::vector<header>& headers)
+    {
+        std::vector<std::string_view> codings;
+        for (const auto& each : headers) {
+            if (equalsIgnoreCase(each.name, "Transfer-Encoding"))
+                appendElements(codings, each.value);
+        }
+        return codings;
+    }
+
 } // namespace
 
 const std::string* findHeader(const std::vector<header>& headers, std::string_view name)
@@ -19,6 +48,7 @@
 
 http_reader::http_reader(http_parser_type type, std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
     : m_type(type)
+    , m_lines(type)
     , m_maxHeaderBytes(maxHeaderBytes)
     , m_maxBodyBytes(maxBodyBytes)
 {
@@ -35,6 +65,7 @@
 {
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
+    m_lines = head_lines(m_type);
     m_chunks.reset();
     m_state = reader_state::reading;
     m_started = false;
@@ -134,32 +165,67 @@
     constexpr unsigned switchingProtocols = 101;
     constexpr unsigned maxStatus = 599;
     const unsigned status = m_parser.status_code;
-    return m_parser.http_major == 1 && status >= minStatus && status <= maxStatus && status != switchingProtocols;
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
+/// Brings the fields into the form in which they are passed on (RFC 9112, section 5.1): no spaces around values nor
+/// after the names of a response, while a request with such a name is rejected. Returns false if a field is malformed.
+bool http_reader::checkFields()
+{
+    for (auto& each : m_headers) {
+        if (m_type == HTTP_RESPONSE)
+            trim(each.name);
+        trim(each.value);
+        if (!isToken(each.name))
+            return reject("the name of a header is no token");
+    }
+    return true;
+}
+
+/// Determines how the body is framed (RFC 9112, sections 6.1 to 6.3). Returns false if that is not certain.
+bool http_reader::checkFraming()
+{
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    if (!hasLength && findHeader(m_headers, "Content-Length"))
+        return reject("the Content-Length has no value");
+    if (!findHeader(m_headers, "Transfer-Encoding"))
+        return true;
+    const auto codings = transferCodings(m_headers);
+    if (codings.size() != 1 || !equalsIgnoreCase(codings.front(), "chunked"))
+        return reject("the body has another transfer coding than chunked");
+    if (hasLength || m_parser.http_minor == 0)
+        return reject("the length of a chunked body is told twice, or its HTTP version has no chunks");
+    if (hasBody())
+        m_chunks.emplace(m_maxHeaderBytes - m_headerBytes);
+    return true;
 }
 
+/// Whether a body may follow the head.
+bool http_reader::hasBody() const { return m_expectBody; }
+
 int http_reader::onHeadersComplete()
 {
     constexpr int malformed = -1;
     m_headersComplete = true;
     m_status = static_cast<int>(m_parser.status_code);
-    if (m_type == HTTP_RESPONSE && !statusLineIsValid()) {
+    if (m_parser.http_major != 1 || (m_type == HTTP_RESPONSE && !statusLineIsValid())) {
         reject("the HTTP version or the status is invalid");
         return malformed;
     }
     if (m_type == HTTP_REQUEST)
         m_method = http_method_str(static_cast<http_method>(m_parser.method));
-    if (m_expectBody && (m_parser.flags & F_CHUNKED) != 0)
-        m_chunks.emplace(m_maxHeaderBytes - m_headerBytes);
+    if (!checkFields() || !checkFraming())
+        return malformed;
     const bool lengthKnown = (m_parser.flags & F_CONTENTLENGTH) != 0;
-    if (lengthKnown && m_expectBody && m_parser.content_length > m_maxBodyBytes) {
+    if (lengthKnown && hasBody() && m_parser.content_length > m_maxBodyBytes) {
         m_state = reader_state::bodyTooLarge;
         return malformed;
     }
-    if (lengthKnown && m_expectBody && !reserve(m_parser.content_length)) {
+    if (lengthKnown && hasBody() && !reserve(m_parser.content_length)) {
         m_state = reader_state::overBudget;
         return malformed;
     }
-    return m_expectBody && !m_chunks ? 0 : skipBody;
+    return hasBody() && !m_chunks ? 0 : skipBody;
 }
 
 /// For the parser library, a chunked message is complete after its head.
@@ -193,8 +259,23 @@
     std::size_t used = 0;
     while (used < bytes.size() && m_state == reader_state::reading) {
         const auto rest = bytes.substr(used);
-        used += m_chunks ? feedChunks(rest) : feedParser(rest);
+        used += !m_headersComplete ? feedHead(rest) : m_chunks ? feedChunks(rest) : feedParser(rest);
+    }
+    return used;
+}
+
+/// Consumes bytes up to the end of a line.
+std::size_t http_reader::feedHead(std::string_view bytes)
+{
+    const auto lineFeed = bytes.find('\n');
+    const auto line = bytes.substr(0, lineFeed == std::string_view::npos ? bytes.size() : lineFeed + 1);
+    if (!m_lines.take(line)) {
+        reject("a line of the head is malformed");
+        return line.size();
     }
+    const auto used = feedParser(line);
+    if (m_state == reader_state::reading && m_lines.complete() != m_headersComplete)
+        reject("the head does not end with an empty line");
     return used;
 }
 
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -4,6 +4,7 @@
 
 #include "body_budget.h"
 #include "chunked_body.h"
+#include "head_lines.h"
 #include <http_parser.h>
 #include <limpetcroft/proxy.h>
 
@@ -75,7 +76,11 @@
     int onHeadersComplete();
     int onMessageComplete();
     bool statusLineIsValid() const;
+    bool checkFields();
+    bool checkFraming();
+    bool hasBody() const;
     bool onBody(std::string_view part);
+    std::size_t feedHead(std::string_view bytes);
     std::size_t feedParser(std::string_view bytes);
     std::size_t feedChunks(std::string_view bytes);
     int countHeaderBytes(std::size_t bytes);
@@ -83,6 +88,7 @@
 
     http_parser m_parser {};
     http_parser_type m_type;
+    head_lines m_lines;
     std::optional<chunked_body> m_chunks; ///< of a chunked body
     std::size_t m_maxHeaderBytes;
     std::size_t m_maxBodyBytes;
--- a/src/libproxy/proxy_framing_test.cpp
+++ b/src/libproxy/proxy_framing_test.cpp
@@ -101,6 +101,26 @@
     }
 }
 
+// A line feed was missing at the end of the head, the parser took the first digit of a chunk's size for it, and a size
+// of 10 became the last chunk.
+TEST(framing, spoiledHeadsNeverCutTheBody)
+{
+    const auto chunks = scheduleChunks();
+    for (std::size_t position = 0; position < scheduleHead.size(); ++position) {
+        std::string spoiled(scheduleHead);
+        spoiled.erase(position, 1);
+        for (const auto partBytes : partSizes()) {
+            auto reader = std::make_unique<http_reader>(HTTP_RESPONSE, maxHeaderBytes, maxBodyBytes);
+            const auto response = spoiled + chunks;
+            for (std::size_t at = 0; at < response.size() && reader->state() == reader_state::reading; at += partBytes)
+                reader->feed(std::string_view(response).substr(at, partBytes));
+            // Without the name of the header that tells the framing, the body goes on until the connection ends.
+            if (reader->state() == reader_state::complete)
+                EXPECT_EQ(reader->body(), wholeSchedule()) << position << ", parts of " << partBytes;
+        }
+    }
+}
+
 struct message_case {
     const char* name;
     http_parser_type type;
@@ -120,8 +140,21 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(messages, malformed_message,
-    testing::Values(message_case { "chunkSizeEndsWithoutLineFeed", HTTP_RESPONSE,
-                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\rXa\r\n0\r\n\r\n" },
+    testing::Values(message_case { "statusLineEndsWithoutLineFeed", HTTP_RESPONSE, "HTTP/1.1 200 OK\rX-A: b\r\n\r\n" },
+        message_case { "headEndsWithoutLineFeed", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\rab" },
+        message_case { "longStatus", HTTP_RESPONSE, "HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n" },
+        message_case { "spaceInName", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0\r\n\r\n" },
+        message_case { "spaceBeforeTheFirstName", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n X-A: b\r\n\r\n" },
+        message_case {
+            "chunksInHttp10", HTTP_RESPONSE, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        message_case { "unknownCoding", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc" },
+        message_case {
+            "codedChunks", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
+        message_case { "codedChunksInTwoHeaders", HTTP_RESPONSE,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        message_case { "emptyLength", HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nabc" },
+        message_case { "chunkSizeEndsWithoutLineFeed", HTTP_RESPONSE,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\rXa\r\n0\r\n\r\n" },
         message_case { "chunkEndsWithoutCarriageReturn", HTTP_RESPONSE,
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\n0\r\n\r\n" },
         message_case { "lineFeedInChunkExtension", HTTP_RESPONSE,
@@ -134,8 +167,19 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n: b\r\n\r\n" },
         message_case { "cutTrailers", HTTP_RESPONSE,
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n0\r\nX-A: b\r\n" },
+        message_case { "smuggledByEmptyLength", HTTP_REQUEST,
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: \r\n\r\nGET /b HTTP/1.1\r\n\r\n" },
+        message_case { "codedRequest", HTTP_REQUEST,
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
+        message_case { "headOfRequestEndsWithoutLineFeed", HTTP_REQUEST,
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r10\r\nX: 4567890abcdef\r\n\r\n0\r\n\r\n" },
         message_case { "shortChunkOfRequest", HTTP_REQUEST,
-            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabc\r\n0\r\n\r\n" }),
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabc\r\n0\r\n\r\n" },
+        message_case { "spaceBeforeColonOfRequest", HTTP_REQUEST, "GET / HTTP/1.1\r\nHost: x\r\nX-Team : a\r\n\r\n" },
+        message_case { "tabInTarget", HTTP_REQUEST, "GET /a\tb HTTP/1.1\r\nHost: x\r\n\r\n" },
+        message_case { "nulInValue", HTTP_REQUEST, "GET / HTTP/1.1\r\nHost: x\r\nX-A: \x01z\r\n\r\n" },
+        message_case { "http09", HTTP_REQUEST, "GET /\r\n\r\n" },
+        message_case { "http2", HTTP_REQUEST, "GET / HTTP/2.0\r\nHost: x\r\n\r\n" }),
     [](const auto& info) { return info.param.name; });
 
 struct lawful_case {
@@ -169,10 +213,37 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-A: b\r\n\r\n", "abc" },
         lawful_case {
             "paddedSizes", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n003  \r\nabc\r\n000\r\n\r\n", "abc" },
+        lawful_case {
+            "codingInAnyCase", "HTTP/1.1 200 OK\r\nTransfer-Encoding: , Chunked \r\n\r\n1\r\na\r\n0\r\n\r\n", "a" },
+        lawful_case { "lineFeedsOnlyInTheHead", "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc", "abc" },
+        lawful_case { "noReason", "HTTP/1.1 200\r\nContent-Length: 3\r\n\r\nabc", "abc" },
+        lawful_case { "anyReason", "HTTP/1.1 200 \xe6\t!\r\nContent-Length: 3\r\n\r\nabc", "abc" },
+        lawful_case { "noLength", "HTTP/1.1 200 OK\r\n\r\n1\r\na", "1\r\na" },
         lawful_case { "lineBreaksInData",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n\r\n0\r\n\r\n0\r\n\r\n", "\r\n0\r\n" }),
     [](const auto& info) { return info.param.name; });
 
+// By RFC 9112, section 5, a proxy passes values on without the spaces around them, folded ones in one line, and names
+// without the space that a server has put before the colon. A request identifier with a space after it answered none.
+TEST(framing, fieldsOfAResponseArePassedOnInTheirUsualForm)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nX-Id: 7 \t\r\nX-Folded: one\r\n  two\r\n\tthree\r\nX-Space : a\r\n"
+                                 "Content-Length : 3\r\n\r\nabc";
+    for (const auto partBytes : partSizes()) {
+        const auto reader = readMessage(HTTP_RESPONSE, response, partBytes);
+        ASSERT_EQ(reader->state(), reader_state::complete) << reader->violation() << ", parts of " << partBytes;
+        EXPECT_EQ(reader->body(), "abc");
+        const auto value = [&](const char* name) {
+            const auto* found = findHeader(reader->headers(), name);
+            return found ? *found : "none";
+        };
+        EXPECT_EQ(value("X-Id"), "7");
+        EXPECT_EQ(value("X-Folded"), "one  two\tthree");
+        EXPECT_EQ(value("X-Space"), "a");
+        EXPECT_EQ(value("Content-Length"), "3");
+    }
+}
+
 // ---- Connection pool ----
 
 struct doubtful_end_case {
