End responses with 204 and 304 with their head

Cause: a 304 may tell the Content-Length that the response would have with its body.

Change: interim responses and those with 204 or 304 have no body, whatever their head tells (RFC 9112, section 6.3).

Result: framing.responsesWithoutABodyEndWithTheirHead failed before for 100, 204 and 304, with a length and with chunks; passes now.

--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -203,8 +203,17 @@
     return true;
 }
 
-/// Whether a body may follow the head.
-bool http_reader::hasBody() const { return m_expectBody; }
+/// Whether a body may follow the head. No interim response and none with status 204 or 304 has one, whatever length
+/// its head tells (RFC 9112, section 6.3).
+bool http_reader::hasBody() const
+{
+    constexpr unsigned firstFinalStatus = 200;
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    const unsigned status = m_parser.status_code;
+    const bool bodiless = status < firstFinalStatus || status == noContent || status == notModified;
+    return m_expectBody && (m_type == HTTP_REQUEST || !bodiless);
+}
 
 int http_reader::onHeadersComplete()
 {
--- a/src/libproxy/proxy_framing_test.cpp
+++ b/src/libproxy/proxy_framing_test.cpp
@@ -260,6 +260,20 @@
     }
 }
 
+// A 304 may tell the length that the response would have with its body. The body was waited for until the deadline.
+TEST(framing, responsesWithoutABodyEndWithTheirHead)
+{
+    for (const std::string status : { "100 Continue", "204 No Content", "304 Not Modified" }) {
+        for (const std::string framing : { "Content-Length: 10", "Transfer-Encoding: chunked" }) {
+            const auto head = "HTTP/1.1 " + status + "\r\n" + framing + "\r\n\r\n";
+            http_reader reader(HTTP_RESPONSE, maxHeaderBytes, maxBodyBytes);
+            EXPECT_EQ(reader.feed(head + "HTTP/1.1 200 OK\r\n"), head.size()) << head;
+            EXPECT_EQ(reader.state(), reader_state::complete) << head;
+            EXPECT_TRUE(reader.keepAlive());
+        }
+    }
+}
+
 // ---- Connection pool ----
 
 struct doubtful_end_case {
