Wait for a doubtful end until all that has arrived is read

Cause: after a trailer that is not announced, the pool took the signaled end of the connection for the end of the bytes, and its timer ran out while bytes were left unread on purpose or the loop was late. A further chunk beyond the 64 KB of one read was not seen.

The predicate that did more than ask is now confirmEnd, and the wait stands beside it.

--- a/src/libproxy/chunked_body.cpp
+++ b/src/libproxy/chunked_body.cpp
@@ -6,7 +6,6 @@
 namespace limpet::proxy {
 namespace {
 
-    constexpr std::string_view lineEnd = "\r\n";
     // A size, its extensions and the line end.
     constexpr std::size_t maxSizeLineBytes = 4096;
     constexpr int hexadecimal = 16;
--- a/src/libproxy/field_syntax.h
+++ b/src/libproxy/field_syntax.h
@@ -6,6 +6,9 @@
 
 namespace limpet::proxy {
 
+/// End of each line of a message's framing.
+constexpr std::string_view lineEnd = "\r\n";
+
 /// Whether the text is a token, as the name of a field must be.
 bool isToken(std::string_view text);
 /// Whether the text has no control characters but tabs.
--- a/src/libproxy/http_reader.cpp
+++ b/src/libproxy/http_reader.cpp
@@ -8,9 +8,8 @@
     // Result of on_headers_complete by which the parser expects no body.
     constexpr int skipBody = 1;
 
-    // Count as parts of the header, like its name and its value.
+    // Counts as a part of the header, as the line end does.
     constexpr std::string_view nameSeparator = ": ";
-    constexpr std::string_view lineEnd = "\r\n";
 
     void trim(std::string& text)
     {
@@ -52,7 +51,7 @@
 
 http_reader::http_reader(http_parser_type type, std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
     : m_type(type)
-    , m_lines(type)
+    , m_headLines(type)
     , m_maxHeaderBytes(maxHeaderBytes)
     , m_maxBodyBytes(maxBodyBytes)
 {
@@ -69,7 +68,7 @@
 {
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
-    m_lines = head_lines(m_type);
+    m_headLines = head_lines(m_type);
     m_chunks.reset();
     m_state = reader_state::reading;
     m_started = false;
@@ -281,12 +280,12 @@
 {
     const auto lineFeed = bytes.find('\n');
     const auto line = bytes.substr(0, lineFeed == std::string_view::npos ? bytes.size() : lineFeed + 1);
-    if (!m_lines.take(line)) {
+    if (!m_headLines.take(line)) {
         reject("a line of the head is malformed");
         return line.size();
     }
     const auto used = feedParser(line);
-    if (m_state == reader_state::reading && m_lines.complete() != m_headersComplete)
+    if (m_state == reader_state::reading && m_headLines.complete() != m_headersComplete)
         reject("the head does not end with an empty line");
     return used;
 }
--- a/src/libproxy/http_reader.h
+++ b/src/libproxy/http_reader.h
@@ -88,7 +88,7 @@
 
     http_parser m_parser {};
     http_parser_type m_type;
-    head_lines m_lines;
+    head_lines m_headLines;
     std::optional<chunked_body> m_chunks; ///< of a chunked body
     std::size_t m_maxHeaderBytes;
     std::size_t m_maxBodyBytes;
--- a/src/libproxy/pool.cpp
+++ b/src/libproxy/pool.cpp
@@ -42,7 +42,7 @@
         http_reader reader { HTTP_RESPONSE, maxHeaderBytes, 0 };
         write_buffer out;
         bool connecting = true;
-        bool endAwaited = false; ///< a complete response waits until it is certain that it has ended
+        bool endAwaited = false; ///< a complete response waits until its end is certain
         std::uint64_t exchange = 0; ///< zero: idle or used by a probe
         unsigned skippedResponses = 0; ///< since its exchange began
         std::uint64_t requestsSent = 0;
@@ -69,7 +69,8 @@
     connection* takeIdle();
     bool makeRoom();
     bool belongsToExchange(const connection& conn) const;
-    bool endIsCertain(connection& conn, std::string_view rest, bool inputEnded);
+    bool confirmEnd(connection& conn, std::string_view rest);
+    void awaitEnd(connection& conn);
     void reportMalformed(const connection& conn) const;
     bool skipResponse(connection& conn);
     connection* open();
@@ -349,27 +350,35 @@
 }
 
 /// Whether the complete message in the connection's reader has ended for certain. If only the next bytes can tell, the
-/// message is handled again once they have arrived or have had the time to.
-bool http_pool::state::endIsCertain(connection& conn, std::string_view rest, bool inputEnded)
+/// end is awaited: the message is handled again once they have arrived or have had the time to.
+bool http_pool::state::confirmEnd(connection& conn, std::string_view rest)
 {
+    const bool awaited = std::exchange(conn.endAwaited, false);
     if (!conn.reader.endIsDoubtful())
         return true;
-    const bool awaited = std::exchange(conn.endAwaited, false);
-    if (!rest.empty() || inputEnded || awaited) {
-        const bool continues = mayContinueChunks(rest);
-        if (continues)
-            conn.reader.reject("a further chunk follows the trailers");
+    if (mayContinueChunks(rest)) {
+        conn.reader.reject("a further chunk follows the trailers");
         reportMalformed(conn);
-        return !continues;
+        return false;
     }
+    if (!rest.empty() || awaited)
+        return true;
     conn.endAwaited = true;
+    awaitEnd(conn);
+    return false;
+}
+
+/// Ends the wait after a while without further bytes. Bytes that have arrived but were not read prolong it.
+void http_pool::state::awaitEnd(connection& conn)
+{
     conn.timer = loop.callAt(bootTime() + doubtfulEndWait, [this, serial = conn.serial] {
         auto& waiting = connections.at(serial);
         waiting.timer = 0;
-        if (!handleResponse(waiting, {}, false))
+        if (hasUnreadBytes(waiting.socket.get()))
+            awaitEnd(waiting);
+        else if (!handleResponse(waiting, {}, false))
             failConnection(serial, exchange_failure::lost);
     });
-    return false;
 }
 
 void http_pool::state::reportMalformed(const connection& conn) const
@@ -387,7 +396,7 @@
         reportMalformed(conn);
         return false;
     }
-    if (!endIsCertain(conn, rest, inputEnded))
+    if (!confirmEnd(conn, rest))
         return conn.endAwaited;
     if (reader.status() < firstFinalStatus || !belongsToExchange(conn))
         return skipResponse(conn);
--- a/src/libproxy/proxy_framing_test.cpp
+++ b/src/libproxy/proxy_framing_test.cpp
@@ -1,8 +1,11 @@
 // Tests of what the parser library accepts although RFC 9112 forbids it: messages whose framing is spoiled must not
 // look complete, and lawful ones must stay whole, wherever their bytes are split.
 
+#include "field_syntax.h"
 #include "http_reader.h"
 #include "proxy_fixtures_test.h"
+#include "sockets.h"
+#include <iomanip>
 
 using namespace limpet;
 using namespace limpet::proxy;
@@ -265,7 +268,8 @@
 {
     for (const std::string status : { "100 Continue", "204 No Content", "304 Not Modified" }) {
         for (const std::string framing : { "Content-Length: 10", "Transfer-Encoding: chunked" }) {
-            const auto head = "HTTP/1.1 " + status + "\r\n" + framing + "\r\n\r\n";
+            auto head = "HTTP/1.1 " + status + "\r\n";
+            head += framing + "\r\n\r\n";
             http_reader reader(HTTP_RESPONSE, maxHeaderBytes, maxBodyBytes);
             EXPECT_EQ(reader.feed(head + "HTTP/1.1 200 OK\r\n"), head.size()) << head;
             EXPECT_EQ(reader.state(), reader_state::complete) << head;
@@ -276,6 +280,14 @@
 
 // ---- Connection pool ----
 
+/// Returns the line with a chunk's size, padded to that many bytes.
+std::string sizeLineFor(std::size_t size, std::size_t lineBytes)
+{
+    std::ostringstream line;
+    line << std::setw(static_cast<int>(lineBytes - lineEnd.size())) << std::setfill('0') << std::hex << size << lineEnd;
+    return line.str();
+}
+
 struct doubtful_end_case {
     const char* name;
     const char* later; ///< written after the response has been read
@@ -317,6 +329,25 @@
         doubtful_end_case { "copy", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n", false, true }),
     [](const auto& info) { return info.param.name; });
 
+// The end of the connection was already signaled, but the further chunk had not been read yet.
+TEST(pool, endThatIsSignaledDoesNotConfirmADoubtfulOne)
+{
+    fake_backend backend(17734);
+    backend.sendRequest("1");
+    const std::string trailer = "0\r\n0610: lane 07A\r\n\r\n";
+    const std::string sizeLine = "0ffff\r\n";
+    std::string response(scheduleHead);
+    response += sizeLine;
+    const auto dataBytes = readChunkBytes - response.size() - lineEnd.size() - trailer.size();
+    response.replace(response.size() - sizeLine.size(), sizeLine.size(), sizeLineFor(dataBytes, sizeLine.size()));
+    response += std::string(dataBytes, 'a') + "\r\n" + trailer;
+    ASSERT_EQ(response.size(), readChunkBytes);
+    sendAll(backend.connection, response + "10\r\n0611: lane 07A\r\n\r\n0\r\n\r\n");
+    shutdown(backend.connection, SHUT_WR);
+    ASSERT_TRUE(backend.waitForOutcome());
+    EXPECT_FALSE(backend.outcome->has_value());
+}
+
 // After trailers that are not announced, the connection can be used again.
 TEST(pool, reusesAConnectionAfterUnannouncedTrailers)
 {
--- a/src/libproxy/sockets.cpp
+++ b/src/libproxy/sockets.cpp
@@ -142,6 +142,12 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
 }
 
+bool hasUnreadBytes(int descriptor)
+{
+    char next = '\0';
+    return recv(descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 read_outcome readAll(int descriptor, std::uint32_t events, const std::function<bool(std::string_view)>& onChunk,
     std::size_t maxChunkBytes)
 {
--- a/src/libproxy/sockets.h
+++ b/src/libproxy/sockets.h
@@ -30,6 +30,8 @@
 /// Returns whether a connect begun by startConnect() succeeded.
 bool connectSucceeded(int descriptor);
 
+/// Whether bytes have arrived that were not read.
+bool hasUnreadBytes(int descriptor);
 /// Largest chunk of readAll().
 constexpr std::size_t readChunkBytes = 64 * 1024;
 /// drained: no more bytes are available at present, or the callback stopped the reading. more: the bound of one call
