Feed messages in parts in one place of the framing tests

Cause: three tests of the change had the same loop in two forms.

Change: feedInParts serves all of them, and checks the number of consumed bytes in each.

--- a/src/libproxy/proxy_framing_test.cpp
+++ b/src/libproxy/proxy_framing_test.cpp
@@ -17,16 +17,22 @@
 constexpr std::size_t maxHeaderBytes = 16 * 1024;
 constexpr std::size_t maxBodyBytes = 1 << 20;
 
-/// Reads one message from the bytes, in parts of that size, and then the end of the stream.
-std::unique_ptr<http_reader> readMessage(http_parser_type type, std::string_view bytes, std::size_t partBytes)
+/// Feeds the bytes in parts of that size, until the reader has a message or rejects it.
+void feedInParts(http_reader& reader, std::string_view bytes, std::size_t partBytes)
 {
-    auto reader = std::make_unique<http_reader>(type, maxHeaderBytes, maxBodyBytes);
-    while (!bytes.empty() && reader->state() == reader_state::reading) {
+    while (!bytes.empty() && reader.state() == reader_state::reading) {
         const auto part = bytes.substr(0, partBytes);
-        const auto used = reader->feed(part);
-        EXPECT_TRUE(used == part.size() || reader->state() != reader_state::reading);
+        const auto used = reader.feed(part);
+        EXPECT_TRUE(used == part.size() || reader.state() != reader_state::reading);
         bytes.remove_prefix(used);
     }
+}
+
+/// Reads one message from the bytes, in parts of that size, and then the end of the stream.
+std::unique_ptr<http_reader> readMessage(http_parser_type type, std::string_view bytes, std::size_t partBytes)
+{
+    auto reader = std::make_unique<http_reader>(type, maxHeaderBytes, maxBodyBytes);
+    feedInParts(*reader, bytes, partBytes);
     if (reader->state() == reader_state::reading)
         reader->feedEof();
     return reader;
@@ -113,13 +119,11 @@
         std::string spoiled(scheduleHead);
         spoiled.erase(position, 1);
         for (const auto partBytes : partSizes()) {
-            auto reader = std::make_unique<http_reader>(HTTP_RESPONSE, maxHeaderBytes, maxBodyBytes);
-            const auto response = spoiled + chunks;
-            for (std::size_t at = 0; at < response.size() && reader->state() == reader_state::reading; at += partBytes)
-                reader->feed(std::string_view(response).substr(at, partBytes));
+            http_reader reader(HTTP_RESPONSE, maxHeaderBytes, maxBodyBytes);
+            feedInParts(reader, spoiled + chunks, partBytes);
             // Without the name of the header that tells the framing, the body goes on until the connection ends.
-            if (reader->state() == reader_state::complete)
-                EXPECT_EQ(reader->body(), wholeSchedule()) << position << ", parts of " << partBytes;
+            if (reader.state() == reader_state::complete)
+                EXPECT_EQ(reader.body(), wholeSchedule()) << position << ", parts of " << partBytes;
         }
     }
 }
@@ -255,8 +259,7 @@
     for (const std::size_t limit : { counted, counted - 1 }) {
         for (const auto partBytes : partSizes()) {
             http_reader reader(HTTP_REQUEST, limit, maxBodyBytes);
-            for (std::size_t at = 0; at < head.size() && reader.state() == reader_state::reading; at += partBytes)
-                reader.feed(std::string_view(head).substr(at, partBytes));
+            feedInParts(reader, head, partBytes);
             EXPECT_EQ(reader.state(), limit == counted ? reader_state::complete : reader_state::headersTooLarge)
                 << "parts of " << partBytes;
         }
